--- /dev/null
+++ b/packages/agent/agent_settings.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "platform/http_endpoint.h"
+
+namespace zinniacart {
+
+/// What an agent is told at its start.
+struct AgentSettings {
+  HostId host;
+  DomainId domain;
+  Endpoint rpc;     ///< Where entries reach it.
+  Endpoint local;   ///< Where backend servers, metrics and health reach it.
+  Endpoint worker;  ///< The worker on this host.
+  std::vector<Endpoint> entries;  ///< Some entries; they name the others.
+  Duration drain_time{4'000};     ///< From "leaving" to the last refusal.
+};
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/base/clock.cc
@@ -0,0 +1,15 @@
+#include "base/clock.h"
+
+namespace zinniacart {
+
+Instant SteadyClock::Now() const {
+  const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
+  return Instant{std::chrono::duration_cast<Duration>(since_boot).count()};
+}
+
+std::int64_t WallClockMilliseconds() {
+  const auto since_1970 = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<Duration>(since_1970).count();
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/configuration/configuration_writer.cc
@@ -0,0 +1,112 @@
+#include "configuration/configuration_writer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace zinniacart {
+namespace {
+
+/// Every this many changes, the kept ones are copied into the archive, twice
+/// as often as they leave the configuration.
+constexpr std::uint64_t kArchiveInterval = Configuration::kKeptChanges / 2;
+
+/// Racing operators and lost answers are retried this often.
+constexpr int kMostAttempts = 40;
+constexpr Duration kRetryPause{50};
+
+}  // namespace
+
+ConfigurationWriter::ConfigurationWriter(Store& store, Pause pause)
+    : m_store(store), m_pause(std::move(pause)) {}
+
+Result<Configuration> ConfigurationWriter::Write(const ChangeRequest& request) {
+  bool maybe_written = false;
+  for (int attempt = 0; attempt < kMostAttempts; ++attempt) {
+    auto written = TryOnce(request);
+    if (written) {
+      return written;
+    }
+    const ErrorCode code = written.error().code;
+    maybe_written |= code == ErrorCode::kOutcomeUnknown;
+    const bool raced = code == ErrorCode::kPreconditionFailed;
+    const bool store_failed = code == ErrorCode::kStoreUnavailable ||
+                              code == ErrorCode::kOutcomeUnknown;
+    if (!raced && !store_failed) {
+      return written;
+    }
+    if (code == ErrorCode::kStoreUnavailable && !maybe_written) {
+      return written;
+    }
+    m_pause(kRetryPause);
+  }
+  if (maybe_written) {
+    return Fail(ErrorCode::kOutcomeUnknown, "the store's answer was lost");
+  }
+  return Fail(ErrorCode::kConflict, "too many changes at once");
+}
+
+Result<Configuration> ConfigurationWriter::TryOnce(
+    const ChangeRequest& request) {
+  auto current = Read();
+  if (!current) {
+    return tl::unexpected(current.error());
+  }
+  const ConfigSerial before = current->configuration.serial();
+  const auto serial = current->configuration.Append(request);
+  if (!serial) {
+    return tl::unexpected(serial.error());
+  }
+  if (*serial <= before) {
+    return current->configuration;
+  }
+  const auto archived = Archive(current->configuration);
+  if (!archived) {
+    return tl::unexpected(archived.error());
+  }
+  const auto written = m_store.CompareAndSwap(
+      Key(), current->configuration.Serialize(), current->version, {});
+  if (!written) {
+    return tl::unexpected(written.error());
+  }
+  return current->configuration;
+}
+
+Result<ConfigurationWriter::Current> ConfigurationWriter::Read() {
+  auto value = m_store.Get(Key());
+  if (!value && value.error().code == ErrorCode::kNotFound) {
+    return Current{};
+  }
+  if (!value) {
+    return tl::unexpected(value.error());
+  }
+  auto configuration = Configuration::Parse(value->bytes);
+  if (!configuration) {
+    return tl::unexpected(configuration.error());
+  }
+  return Current{std::move(*configuration), value->version};
+}
+
+Result<void> ConfigurationWriter::Archive(const Configuration& configuration) {
+  const std::uint64_t serial = configuration.serial().value();
+  if (serial % kArchiveInterval != 0) {
+    return {};
+  }
+  // The change being written now belongs to the next segment.
+  nlohmann::json segment = nlohmann::json::array();
+  for (const auto& change : configuration.changes()) {
+    const std::uint64_t number = change.serial.value();
+    if (number + kArchiveInterval >= serial && number < serial) {
+      segment.push_back(ToJson(change));
+    }
+  }
+  const StoreKey key(kArchivePrefix + std::to_string(serial));
+  const auto written =
+      m_store.CompareAndSwap(key, segment.dump(), StoreVersion(0), {});
+  const bool done =
+      written || written.error().code == ErrorCode::kPreconditionFailed;
+  if (!done) {
+    return tl::unexpected(written.error());
+  }
+  return {};
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/entry/placement_driver.cc
@@ -0,0 +1,257 @@
+#include "entry/placement_driver.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+#include <utility>
+
+#include "base/logging.h"
+#include "placement/wire_conversion.h"
+#include "zinniacart.grpc.pb.h"
+
+namespace zinniacart {
+namespace {
+
+constexpr std::size_t kStoreThreads = 8;
+constexpr std::chrono::milliseconds kAgentCallTimeout{1'000};
+
+/// One call to an agent, kept alive until its answer.
+struct AgentCall {
+  std::unique_ptr<wire::Agent::Stub> stub;
+  grpc::ClientContext context;
+  wire::OwnerBatch batch;
+  wire::AgentBatch answers;
+};
+
+}  // namespace
+
+PlacementDriver::PlacementDriver(EntryState& state,
+                                 Store& store,
+                                 const Clock& clock,
+                                 ConfigurationFollower& follower,
+                                 ChannelPool& agents,
+                                 EntryId self)
+    : m_state(state),
+      m_store(store),
+      m_clock(clock),
+      m_follower(follower),
+      m_agents(agents),
+      m_self(std::move(self)),
+      m_store_threads(kStoreThreads) {}
+
+void PlacementDriver::Tick() {
+  std::vector<ShardOwner::ShardEffect> effects;
+  Incarnation session;
+  {
+    const std::lock_guard lock(m_state.mutex);
+    const Instant now = m_clock.Now();
+    m_state.hosts.DropExpired(now);
+    if (!m_state.owner) {
+      return;
+    }
+    m_state.owner->Tick(m_state.hosts, now);
+    effects = m_state.owner->TakeEffects();
+    session = m_state.owner->incarnation();
+  }
+  CarryOut(std::move(effects), session);
+}
+
+std::vector<wire::OwnerMessage> PlacementDriver::Handle(
+    const HostId& host,
+    const google::protobuf::RepeatedPtrField<wire::AgentMessage>& messages) {
+  std::vector<ShardOwner::ShardEffect> effects;
+  std::vector<ShardOwner::ShardEffect> others;
+  std::vector<wire::OwnerMessage> answers;
+  Incarnation session;
+  {
+    const std::lock_guard lock(m_state.mutex);
+    if (!m_state.owner) {
+      return answers;
+    }
+    for (const auto& in : messages) {
+      if (const auto message = FromWire(in)) {
+        m_state.owner->OnAgentMessage(host, *message, m_clock.Now());
+      }
+    }
+    effects = m_state.owner->TakeEffects();
+    session = m_state.owner->incarnation();
+  }
+  for (auto& effect : effects) {
+    const auto* send = std::get_if<Shard::Send>(&effect.effect);
+    if (send != nullptr && send->host == host) {
+      answers.push_back(ToWire(send->message));
+    } else {
+      others.push_back(std::move(effect));
+    }
+  }
+  CarryOut(std::move(others), session);
+  return answers;
+}
+
+Result<void> PlacementDriver::Submit(const JobRecord& job, Duration patience) {
+  return Call([&](ShardOwner& owner, std::uint64_t call,
+                  Instant now) { owner.Submit(call, job, now); },
+              patience);
+}
+
+Result<void> PlacementDriver::Cancel(const TeamId& team,
+                                     const JobId& job,
+                                     Duration patience) {
+  return Call([&](ShardOwner& owner, std::uint64_t call,
+                  Instant now) { owner.Cancel(call, team, job, now); },
+              patience);
+}
+
+Result<void> PlacementDriver::Call(
+    const std::function<void(ShardOwner&, std::uint64_t, Instant)>& action,
+    Duration patience) {
+  std::uint64_t call = 0;
+  {
+    const std::lock_guard lock(m_answer_mutex);
+    call = ++m_last_call;
+    m_answers[call] = PendingAnswer{};
+  }
+  {
+    const std::lock_guard lock(m_state.mutex);
+    if (!m_state.owner) {
+      return Fail(ErrorCode::kNotReady, "no session at the store");
+    }
+    action(*m_state.owner, call, m_clock.Now());
+  }
+  Tick();
+  std::unique_lock lock(m_answer_mutex);
+  const bool answered = m_answered.wait_for(
+      lock, patience, [&] { return m_answers[call].answered; });
+  const PendingAnswer answer = m_answers[call];
+  m_answers.erase(call);
+  if (!answered) {
+    return Fail(ErrorCode::kOutcomeUnknown, "not known durable in time");
+  }
+  return answer.result;
+}
+
+void PlacementDriver::Stop() {
+  m_store_threads.join();
+  std::unique_lock lock(m_call_mutex);
+  m_calls_ended.wait(lock, [this] { return m_open_calls == 0; });
+}
+
+void PlacementDriver::CarryOut(std::vector<ShardOwner::ShardEffect> effects,
+                               Incarnation session) {
+  std::map<HostId, wire::OwnerBatch> batches;
+  for (auto& [shard, effect] : effects) {
+    std::visit(
+        Visitor{[&, id = shard](const Shard::ReadRecord&) {
+                  asio::post(m_store_threads, [this, id, session] {
+                    const auto value = m_store.Get(ShardKey(id));
+                    WithOwner(session, [&](ShardOwner& owner, Instant now) {
+                      owner.OnRead(id, value, now);
+                    });
+                  });
+                },
+                [&, id = shard](const Shard::WriteRecord& write) {
+                  asio::post(m_store_threads, [this, id, session, write] {
+                    const auto version = m_store.CompareAndSwap(
+                        ShardKey(id), write.bytes, write.expected, LeaseId());
+                    WithOwner(session, [&](ShardOwner& owner, Instant now) {
+                      owner.OnWritten(id, version, now);
+                    });
+                  });
+                },
+                [&, id = shard](const Shard::ConfirmConfiguration&) {
+                  asio::post(m_store_threads, [this, id, session] {
+                    const bool confirmed = m_follower.Refresh();
+                    WithOwner(session, [&](ShardOwner& owner, Instant now) {
+                      owner.OnConfigurationConfirmed(id, confirmed, now);
+                    });
+                  });
+                },
+                [&](const Shard::Send& send) {
+                  *batches[send.host].add_messages() = ToWire(send.message);
+                },
+                [&](const Shard::Answer& answer) {
+                  const std::lock_guard lock(m_answer_mutex);
+                  const auto found = m_answers.find(answer.call);
+                  if (found != m_answers.end()) {
+                    found->second = PendingAnswer{true, answer.result};
+                    m_answered.notify_all();
+                  }
+                }},
+        effect);
+  }
+  SendBatches(std::move(batches));
+}
+
+void PlacementDriver::WithOwner(
+    Incarnation session,
+    const std::function<void(ShardOwner&, Instant)>& action) {
+  std::vector<ShardOwner::ShardEffect> effects;
+  {
+    const std::lock_guard lock(m_state.mutex);
+    const bool same = m_state.owner && m_state.owner->incarnation() == session;
+    if (!same) {
+      return;
+    }
+    action(*m_state.owner, m_clock.Now());
+    effects = m_state.owner->TakeEffects();
+  }
+  CarryOut(std::move(effects), session);
+}
+
+void PlacementDriver::SendBatches(std::map<HostId, wire::OwnerBatch> batches) {
+  for (auto& [host, batch] : batches) {
+    std::string address;
+    {
+      const std::lock_guard lock(m_state.mutex);
+      const HostAnnouncement* announcement = m_state.hosts.Find(host);
+      if (announcement == nullptr) {
+        continue;  // Sent again while it matters.
+      }
+      address = announcement->address;
+    }
+    auto call = std::make_shared<AgentCall>();
+    call->stub = wire::Agent::NewStub(m_agents.Get(address));
+    call->batch = std::move(batch);
+    call->batch.set_entry(m_self.value());
+    call->context.set_deadline(std::chrono::system_clock::now() +
+                               kAgentCallTimeout);
+    {
+      const std::lock_guard lock(m_call_mutex);
+      ++m_open_calls;
+    }
+    call->stub->async()->Place(
+        &call->context, &call->batch, &call->answers,
+        [this, call, host = host, address](const grpc::Status& status) {
+          TakeAnswers(
+              host, address, call->answers, status.ok(),
+              status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED);
+        });
+  }
+}
+
+void PlacementDriver::TakeAnswers(const HostId& host,
+                                  const std::string& address,
+                                  const wire::AgentBatch& answers,
+                                  bool ok,
+                                  bool timed_out) {
+  if (ok && !answers.messages().empty()) {
+    const auto messages = Handle(host, answers.messages());
+    wire::OwnerBatch batch;
+    for (const auto& message : messages) {
+      *batch.add_messages() = message;
+    }
+    if (!messages.empty()) {
+      std::map<HostId, wire::OwnerBatch> batches;
+      batches[host] = std::move(batch);
+      SendBatches(std::move(batches));
+    }
+  }
+  if (timed_out) {
+    m_agents.Replace(address);
+  }
+  const std::lock_guard lock(m_call_mutex);
+  --m_open_calls;
+  m_calls_ended.notify_all();
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/placement/shard.cc
@@ -0,0 +1,814 @@
+#include "placement/shard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+
+namespace zinniacart {
+namespace {
+
+constexpr Duration kReadRetry{500};
+/// A host that refused a task is not asked again for this long.
+constexpr Duration kAvoidance{1'000};
+constexpr Duration kFirstBackoff{1'000};
+constexpr Duration kLongestBackoff{300'000};
+constexpr int kMostBackoffDoublings = 9;
+
+Duration Backoff(int failures) {
+  const int doublings = std::min(failures, kMostBackoffDoublings);
+  return std::min(kFirstBackoff * (1 << doublings), kLongestBackoff);
+}
+
+bool IsPlaced(Shard::Phase phase) {
+  return phase == Shard::Phase::kStarting || phase == Shard::Phase::kRunning ||
+         phase == Shard::Phase::kStopping || phase == Shard::Phase::kUncertain;
+}
+
+}  // namespace
+
+const char* ToString(PendingReason reason) {
+  switch (reason) {
+    case PendingReason::kNone:
+      return "running or done";
+    case PendingReason::kNotTriedYet:
+      return "waiting for its turn";
+    case PendingReason::kStarting:
+      return "a host was asked and is starting it";
+    case PendingReason::kNoHostKnown:
+      return "no host has announced itself";
+    case PendingReason::kNoHostLargeEnough:
+      return "can never run: no host is large enough";
+    case PendingReason::kNoAllowedHost:
+      return "operators have taken every host that fits out";
+    case PendingReason::kNoRoomNow:
+      return "no host has room now";
+    case PendingReason::kQuotaReached:
+      return "the team's quota is in use";
+    case PendingReason::kQuotaTooSmall:
+      return "can never run: one task exceeds the team's quota";
+    case PendingReason::kBackoff:
+      return "failed lately, waiting before the next try";
+    case PendingReason::kHostUncertain:
+      return "its host is silent; its lease has to end first";
+    case PendingReason::kStopping:
+      return "is being stopped";
+  }
+  return "unknown";
+}
+
+Shard::Shard(ShardId id,
+             EntryId self,
+             Incarnation incarnation,
+             PlacementTimes times)
+    : m_id(id),
+      m_self(std::move(self)),
+      m_incarnation(incarnation),
+      m_times(times) {}
+
+// ---- Ownership ----
+
+void Shard::BeginClaim(Instant now) {
+  if (m_ownership != Ownership::kForeign) {
+    return;
+  }
+  m_ownership = Ownership::kReading;
+  m_found.reset();
+  ReadAgain(now);
+}
+
+void Shard::BeginRelease(Instant now) {
+  if (m_ownership != Ownership::kOwned) {
+    return;
+  }
+  m_ownership = Ownership::kReleasing;
+  Flush(now);
+}
+
+void Shard::Abandon() {
+  const Error lost{ErrorCode::kOutcomeUnknown, "ownership was lost", {}};
+  if (m_commit) {
+    AnswerAll(m_commit->changes, lost);
+  }
+  const Error refused{ErrorCode::kNotReady, "ownership was lost", {}};
+  AnswerAll(m_staged, refused);
+  m_commit.reset();
+  m_staged.clear();
+  m_knowledge.clear();
+  m_record = ShardRecord{};
+  m_reading = false;
+  m_found.reset();
+  m_ownership = Ownership::kForeign;
+}
+
+void Shard::Claim(ShardRecord record, StoreVersion version, Instant now) {
+  m_ownership = Ownership::kClaiming;
+  m_version = version;
+  record.owner = m_self;
+  record.owner_incarnation = m_incarnation;
+  record.epoch = record.epoch.Next();
+  IssueCommit(std::move(record), {ChangeOwnerChange{}}, now);
+}
+
+void Shard::BeginRecovery(Instant now) {
+  m_ownership = Ownership::kOwned;
+  m_knowledge.clear();
+  for (const JobRecord& job : m_record.jobs) {
+    for (const TaskRecord& record : job.tasks) {
+      Knowledge& known = m_knowledge[record.task];
+      known.pending_since = now;
+      if (record.status != TaskStatus::kAssigned) {
+        continue;
+      }
+      // An older owner could have renewed until its session ran out.
+      known.ended_after = now + m_times.TakeoverWait();
+      known.reason = PendingReason::kHostUncertain;
+      SetPhase(known, Phase::kUncertain, now);
+      Ask(record, known, now);
+    }
+  }
+}
+
+// ---- Store ----
+
+void Shard::ReadAgain(Instant now) {
+  m_reading = true;
+  m_read_at = now;
+  m_effects.push_back(ReadRecord{});
+}
+
+void Shard::OnRead(const Result<StoreValue>& value, Instant now) {
+  if (!m_reading) {
+    return;
+  }
+  m_reading = false;
+  if (m_commit) {
+    ResolveCommit(value, now);
+    return;
+  }
+  if (m_ownership != Ownership::kReading) {
+    return;
+  }
+  if (!value) {
+    if (value.error().code == ErrorCode::kNotFound) {
+      Claim(ShardRecord{}, StoreVersion(0), now);
+    } else {
+      m_ownership = Ownership::kForeign;
+    }
+    return;
+  }
+  auto record = ParseShardRecord(value->bytes);
+  CheckInvariant(record.has_value(), "shard records are readable");
+  const bool own =
+      record->owner == m_self && record->owner_incarnation == m_incarnation;
+  if (own || record->owner.value().empty()) {
+    Claim(std::move(*record), value->version, now);
+    return;
+  }
+  m_found = FoundRecord{std::move(*record), value->version, now};
+}
+
+void Shard::OnDirectory(const IsAlive& is_alive,
+                        Instant listed_at,
+                        Instant now) {
+  if (!m_found || m_ownership != Ownership::kReading ||
+      listed_at < m_found->read_at) {
+    return;
+  }
+  FoundRecord found = std::move(*m_found);
+  m_found.reset();
+  if (is_alive(found.record.owner, found.record.owner_incarnation)) {
+    m_ownership = Ownership::kForeign;
+    return;
+  }
+  Claim(std::move(found.record), found.version, now);
+}
+
+void Shard::ResolveCommit(const Result<StoreValue>& value, Instant now) {
+  const bool absent = !value && value.error().code == ErrorCode::kNotFound;
+  if (!value && !absent) {
+    return;  // Tick reads again.
+  }
+  const StoreVersion version = absent ? StoreVersion(0) : value->version;
+  if (version == m_commit->expected) {
+    m_commit->resolving = false;
+    m_effects.push_back(WriteRecord{m_commit->bytes, m_commit->expected});
+    return;
+  }
+  const auto record = absent ? Result<ShardRecord>(ShardRecord{})
+                             : ParseShardRecord(value->bytes);
+  CheckInvariant(record.has_value(), "shard records are readable");
+  if (record->commit_id != m_commit->record.commit_id) {
+    Abandon();
+    return;
+  }
+  m_commit->resolving = false;
+  OnWritten(version, now);
+}
+
+void Shard::OnWritten(const Result<StoreVersion>& version, Instant now) {
+  if (!m_commit || m_commit->written || m_commit->resolving) {
+    return;
+  }
+  if (!version) {
+    if (version.error().code == ErrorCode::kStoreUnavailable &&
+        !m_commit->maybe_written) {
+      FailCommit(version.error(), now);
+      return;
+    }
+    m_commit->maybe_written = true;
+    m_commit->resolving = true;
+    ReadAgain(now);
+    return;
+  }
+  m_commit->written = true;
+  m_version = *version;
+  FinishCommit(now);
+}
+
+void Shard::OnConfigurationConfirmed(const Configuration* configuration,
+                                     Instant now) {
+  if (!m_commit || !m_commit->awaits_configuration) {
+    return;
+  }
+  m_commit->awaits_configuration = false;
+  for (const ShardChange& change : m_commit->changes) {
+    const auto* assign = std::get_if<AssignChange>(&change);
+    const bool allowed =
+        assign != nullptr && configuration != nullptr &&
+        configuration->AllowsWork(m_domains[assign->host], assign->host);
+    if (allowed) {
+      m_commit->allowed[assign->task] = configuration->serial();
+    }
+  }
+  FinishCommit(now);
+}
+
+void Shard::Tick(Instant now) {
+  const bool read_lost = m_reading && now - m_read_at >= kReadRetry * 4;
+  const bool must_resolve = m_commit && m_commit->resolving && !m_reading &&
+                            now - m_read_at >= kReadRetry;
+  if (read_lost && !m_commit) {
+    m_reading = false;
+    m_ownership = Ownership::kForeign;
+    return;
+  }
+  if (read_lost || must_resolve) {
+    ReadAgain(now);
+  }
+  if (m_ownership != Ownership::kOwned &&
+      m_ownership != Ownership::kReleasing) {
+    return;
+  }
+  for (const JobRecord& job : m_record.jobs) {
+    for (const TaskRecord& record : job.tasks) {
+      if (!IsFinal(record.status)) {
+        TickTask(job, record, m_knowledge[record.task], now);
+      }
+    }
+  }
+  Flush(now);
+}
+
+void Shard::Stage(ShardChange change, Instant now) {
+  if (m_staged.empty()) {
+    m_staged_since = now;
+  }
+  m_staged.push_back(std::move(change));
+}
+
+void Shard::Flush(Instant now) {
+  if (m_commit) {
+    return;
+  }
+  StageStamped(now);
+  if (m_staged.empty()) {
+    if (m_ownership == Ownership::kReleasing) {
+      ShardRecord record = m_record;
+      record.owner = EntryId();
+      record.owner_incarnation = Incarnation();
+      IssueCommit(std::move(record), {ChangeOwnerChange{}}, now);
+    }
+    return;
+  }
+  const bool too_soon = now - m_staged_since < m_times.commit_interval ||
+                        now < m_write_not_before;
+  if (too_soon) {
+    return;
+  }
+  ShardRecord record = m_record;
+  std::vector<ShardChange> applied;
+  for (ShardChange& change : std::exchange(m_staged, {})) {
+    const auto result = ApplyChange(change, record);
+    if (result) {
+      applied.push_back(std::move(change));
+    } else {
+      RejectChange(change, result.error(), now);
+    }
+  }
+  if (!applied.empty()) {
+    DropOldestDoneJobs(record);
+    IssueCommit(std::move(record), std::move(applied), now);
+  }
+}
+
+void Shard::RejectChange(const ShardChange& change,
+                         const Error& error,
+                         Instant now) {
+  std::visit(Visitor{[&](const AssignChange& assign) {
+                       MakeIdle(assign.task, PendingReason::kNone, now);
+                     },
+                     [&](const FinishChange& finish) {
+                       MakeIdle(finish.task, PendingReason::kNone, now);
+                     },
+                     [&](const auto&) { AnswerAll({change}, error); }},
+             change);
+}
+
+void Shard::StageStamped(Instant now) {
+  for (const JobRecord& job : m_record.jobs) {
+    for (const TaskRecord& record : job.tasks) {
+      Knowledge& known = m_knowledge[record.task];
+      if (known.phase != Phase::kStamped) {
+        continue;
+      }
+      const bool fresh = now - known.phase_since < m_times.stamp_validity / 2;
+      const bool unwanted =
+          job.IsCancelled(record) || m_ownership != Ownership::kOwned;
+      if (!fresh || unwanted) {
+        MakeIdle(record.task, PendingReason::kNotTriedYet, now);
+        continue;
+      }
+      SetPhase(known, Phase::kCommitting, now);
+      Stage(AssignChange{record.task, known.target}, now);
+    }
+  }
+}
+
+void Shard::IssueCommit(ShardRecord record,
+                        std::vector<ShardChange> changes,
+                        Instant now) {
+  CheckInvariant(!m_commit, "one write of a shard at a time");
+  record.commit_id = m_self.value() + "/" +
+                     std::to_string(m_incarnation.value()) + "/" +
+                     std::to_string(++m_commit_count);
+  Commit commit;
+  commit.changes = std::move(changes);
+  commit.bytes = Serialize(record);
+  commit.record = std::move(record);
+  commit.expected = m_version;
+  commit.issued_at = now;
+  commit.awaits_configuration = std::any_of(
+      commit.changes.begin(), commit.changes.end(), [](const auto& change) {
+        return std::holds_alternative<AssignChange>(change);
+      });
+  m_effects.push_back(WriteRecord{commit.bytes, commit.expected});
+  if (commit.awaits_configuration) {
+    m_effects.push_back(ConfirmConfiguration{});
+  }
+  m_commit = std::move(commit);
+}
+
+void Shard::FinishCommit(Instant now) {
+  if (!m_commit->written || m_commit->awaits_configuration) {
+    return;
+  }
+  const Commit commit = std::move(*m_commit);
+  m_commit.reset();
+  m_record = commit.record;
+  if (m_ownership == Ownership::kClaiming) {
+    BeginRecovery(now);
+    return;
+  }
+  if (m_record.owner != m_self) {
+    Abandon();
+    return;
+  }
+  for (const ShardChange& change : commit.changes) {
+    std::visit(
+        Visitor{[&](const AssignChange& assign) {
+                  const auto allowed = commit.allowed.find(assign.task);
+                  AfterAssign(assign,
+                              allowed == commit.allowed.end()
+                                  ? std::nullopt
+                                  : std::optional(allowed->second),
+                              now);
+                },
+                [&](const FinishChange& finish) { AfterFinish(finish, now); },
+                [&](const AddJobChange& add) {
+                  NoteNewTasks(add.job.job, now);
+                  m_effects.push_back(Answer{add.call, {}});
+                },
+                [&](const CancelJobChange& cancel) {
+                  m_effects.push_back(Answer{cancel.call, {}});
+                },
+                [](const ChangeOwnerChange&) {}},
+        change);
+  }
+  std::erase_if(m_knowledge, [&](const auto& row) {
+    return m_record.FindTask(row.first) == nullptr;
+  });
+}
+
+void Shard::AfterAssign(const AssignChange& assign,
+                        std::optional<ConfigSerial> allowed,
+                        Instant now) {
+  const TaskRecord& record = *m_record.FindTask(assign.task);
+  const JobRecord& job = *m_record.FindJob(JobOf(assign.task));
+  Knowledge& known = m_knowledge[assign.task];
+  CheckInvariant(known.phase == Phase::kCommitting,
+                 "an assignment is started once");
+  if (!allowed || job.IsCancelled(record)) {
+    // Only this owner could have told the host to start: nothing runs.
+    MakeIdle(assign.task, PendingReason::kNoAllowedHost, now);
+    return;
+  }
+  StartMessage start;
+  start.key = KeyOf(assign.task, record.generation);
+  start.stamp = known.stamp;
+  start.config_serial = *allowed;
+  start.demand = job.demand;
+  start.task_class = job.task_class;
+  start.run_time = job.run_time;
+  start.resume_from = record.checkpoint;
+  // The lease starts at the stamp, which lies in the past.
+  known.ended_after = now + m_times.run_lease + m_times.drift_margin;
+  known.asked_at = now;
+  known.heard_at = now;
+  known.reason = PendingReason::kStarting;
+  SetPhase(known, Phase::kStarting, now);
+  SendTo(assign.host, start);
+}
+
+void Shard::AfterFinish(const FinishChange& finish, Instant now) {
+  SendTo(finish.host,
+         AcknowledgeMessage{KeyOf(finish.task, finish.generation)});
+  MakeIdle(finish.task, PendingReason::kNotTriedYet, now);
+  const TaskRecord* record = m_record.FindTask(finish.task);
+  const bool failed = finish.state == ReportedState::kFailed ||
+                      finish.state == ReportedState::kFinished;
+  if (record != nullptr && failed && !IsFinal(record->status)) {
+    Knowledge& known = m_knowledge[finish.task];
+    known.not_before = now + Backoff(record->failures);
+    known.reason = PendingReason::kBackoff;
+    known.avoid[finish.host] = known.not_before + kLongestBackoff;
+  }
+}
+
+void Shard::NoteNewTasks(const JobId& id, Instant now) {
+  const JobRecord* job = m_record.FindJob(id);
+  if (job == nullptr) {
+    return;
+  }
+  for (const TaskRecord& record : job->tasks) {
+    Knowledge fresh;
+    fresh.pending_since = now;
+    m_knowledge.try_emplace(record.task, fresh);
+  }
+}
+
+void Shard::FailCommit(const Error& error, Instant now) {
+  const Commit commit = std::move(*m_commit);
+  m_commit.reset();
+  m_write_not_before = now + kReadRetry;
+  if (m_ownership == Ownership::kClaiming) {
+    m_ownership = Ownership::kForeign;
+    return;
+  }
+  if (m_ownership == Ownership::kReleasing &&
+      std::holds_alternative<ChangeOwnerChange>(commit.changes.front())) {
+    m_ownership = Ownership::kOwned;
+    return;
+  }
+  for (const ShardChange& change : commit.changes) {
+    if (const auto* assign = std::get_if<AssignChange>(&change)) {
+      MakeIdle(assign->task, PendingReason::kNotTriedYet, now);
+    } else if (std::holds_alternative<FinishChange>(change)) {
+      Stage(change, now);
+    } else {
+      AnswerAll({change}, error);
+    }
+  }
+}
+
+void Shard::AnswerAll(const std::vector<ShardChange>& changes,
+                      const Error& error) {
+  for (const ShardChange& change : changes) {
+    if (const auto* add = std::get_if<AddJobChange>(&change)) {
+      m_effects.push_back(Answer{add->call, tl::unexpected(error)});
+    }
+    if (const auto* cancel = std::get_if<CancelJobChange>(&change)) {
+      m_effects.push_back(Answer{cancel->call, tl::unexpected(error)});
+    }
+  }
+}
+
+// ---- Agents ----
+
+void Shard::OnAgentMessage(const HostId& host,
+                           const AgentMessage& message,
+                           bool may_renew,
+                           Instant now) {
+  if (m_ownership != Ownership::kOwned &&
+      m_ownership != Ownership::kReleasing) {
+    return;
+  }
+  std::visit(Visitor{[&](const OfferedMessage& offered) {
+                       HandleOffered(host, offered, now);
+                     },
+                     [&](const RefusedMessage& refused) {
+                       HandleRefused(host, refused, now);
+                     },
+                     [&](const ReportMessage& report) {
+                       HandleReport(host, report, now);
+                     },
+                     [&](const HeartbeatMessage& heartbeat) {
+                       if (may_renew) {
+                         HandleHeartbeat(host, heartbeat, now);
+                       }
+                     }},
+             message);
+}
+
+void Shard::HandleOffered(const HostId& host,
+                          const OfferedMessage& message,
+                          Instant now) {
+  const TaskRecord* record = m_record.FindTask(message.key.task);
+  if (record == nullptr) {
+    return;
+  }
+  Knowledge& known = m_knowledge[message.key.task];
+  const bool expected = known.phase == Phase::kOffering &&
+                        known.target == host &&
+                        message.key.epoch == m_record.epoch &&
+                        message.key.generation == record->generation.Next();
+  if (!expected) {
+    return;
+  }
+  known.stamp = message.stamp;
+  SetPhase(known, Phase::kStamped, now);
+  if (m_staged.empty()) {
+    m_staged_since = now;
+  }
+}
+
+void Shard::HandleRefused(const HostId& host,
+                          const RefusedMessage& message,
+                          Instant now) {
+  const TaskRecord* record = m_record.FindTask(message.key.task);
+  if (record == nullptr || message.key.epoch != m_record.epoch) {
+    return;
+  }
+  Knowledge& known = m_knowledge[message.key.task];
+  const bool offer_refused =
+      known.phase == Phase::kOffering && known.target == host &&
+      message.key.generation == record->generation.Next();
+  const bool start_refused = known.phase == Phase::kStarting &&
+                             record->host == host &&
+                             message.key.generation == record->generation &&
+                             message.code != ErrorCode::kStaleEpoch;
+  if (offer_refused || start_refused) {
+    known.avoid[host] = now + kAvoidance;
+    MakeIdle(message.key.task, PendingReason::kNoRoomNow, now);
+  }
+}
+
+void Shard::HandleReport(const HostId& host,
+                         const ReportMessage& message,
+                         Instant now) {
+  const PlacementKey key = KeyOf(message.key.task, message.key.generation);
+  const bool running = message.state == ReportedState::kRunning;
+  const bool absent = message.state == ReportedState::kAbsent;
+  const TaskRecord* record = m_record.FindTask(key.task);
+  if (record != nullptr && key.generation > record->generation) {
+    return;
+  }
+  const bool current =
+      record != nullptr && record->status == TaskStatus::kAssigned &&
+      record->host == host && record->generation == key.generation;
+  if (!current) {
+    if (running) {
+      SendTo(host, StopMessage{key});
+    } else if (!absent) {
+      SendTo(host, AcknowledgeMessage{key});
+    }
+    return;
+  }
+  Knowledge& known = m_knowledge[key.task];
+  if (running) {
+    known.heard_at = now;
+    const bool news =
+        known.phase == Phase::kStarting || known.phase == Phase::kUncertain;
+    if (news) {
+      known.reason = PendingReason::kNone;
+      SetPhase(known, Phase::kRunning, now);
+    }
+    return;
+  }
+  if (absent) {
+    if (IsPlaced(known.phase)) {
+      MakeIdle(key.task, PendingReason::kNotTriedYet, now);
+    }
+    return;
+  }
+  const bool being_written =
+      known.phase == Phase::kReporting || known.phase == Phase::kCommitting;
+  if (!being_written) {
+    SetPhase(known, Phase::kReporting, now);
+    Stage(FinishChange{key.task, key.generation, host, message.state,
+                       message.checkpoint},
+          now);
+  }
+}
+
+void Shard::HandleHeartbeat(const HostId& host,
+                            const HeartbeatMessage& message,
+                            Instant now) {
+  const bool handing_over = m_ownership == Ownership::kReleasing && m_commit;
+  if (handing_over) {
+    return;
+  }
+  bool any_placed = false;
+  for (const JobRecord& job : m_record.jobs) {
+    for (const TaskRecord& record : job.tasks) {
+      if (record.host != host || record.status != TaskStatus::kAssigned) {
+        continue;
+      }
+      Knowledge& known = m_knowledge[record.task];
+      if (!IsPlaced(known.phase)) {
+        continue;
+      }
+      any_placed = true;
+      known.ended_after = std::max(
+          known.ended_after, now + m_times.run_lease + m_times.drift_margin);
+    }
+  }
+  if (any_placed) {
+    SendTo(host, RenewMessage{m_id, m_record.epoch, message.stamp});
+  }
+}
+
+void Shard::TickTask(const JobRecord& job,
+                     const TaskRecord& record,
+                     Knowledge& known,
+                     Instant now) {
+  if (IsPlaced(known.phase) && now > known.ended_after) {
+    MakeIdle(record.task, PendingReason::kNotTriedYet, now);
+  }
+  const bool may_ask = now - known.asked_at >= m_times.resend;
+  switch (known.phase) {
+    case Phase::kIdle:
+      if (job.IsCancelled(record)) {
+        SetPhase(known, Phase::kReporting, now);
+        Stage(FinishChange{record.task, record.generation, record.host,
+                           ReportedState::kStopped, record.checkpoint},
+              now);
+      }
+      return;
+    case Phase::kOffering:
+      if (now - known.phase_since >= m_times.resend) {
+        known.avoid[known.target] = now + kAvoidance;
+        MakeIdle(record.task, PendingReason::kNoRoomNow, now);
+      }
+      return;
+    case Phase::kStarting:
+    case Phase::kUncertain:
+      if (may_ask) {
+        Ask(record, known, now);
+      }
+      return;
+    case Phase::kRunning:
+      if (job.IsCancelled(record)) {
+        SendStop(record, known, now);
+      } else if (now - known.heard_at >= m_times.heartbeat * 3) {
+        known.reason = PendingReason::kHostUncertain;
+        SetPhase(known, Phase::kUncertain, now);
+      }
+      return;
+    case Phase::kStopping:
+      if (may_ask) {
+        SendStop(record, known, now);
+      }
+      return;
+    case Phase::kStamped:
+    case Phase::kCommitting:
+    case Phase::kReporting:
+      return;
+  }
+}
+
+// ---- Work ----
+
+void Shard::Submit(std::uint64_t call, const JobRecord& job, Instant now) {
+  const AddJobChange change{call, job};
+  if (m_ownership != Ownership::kOwned) {
+    AnswerAll({change}, Error{ErrorCode::kNotReady, "not the owner", {}});
+    return;
+  }
+  Stage(change, now);
+}
+
+void Shard::Cancel(std::uint64_t call, const JobId& job, Instant now) {
+  const CancelJobChange change{call, job};
+  if (m_ownership != Ownership::kOwned) {
+    AnswerAll({change}, Error{ErrorCode::kNotReady, "not the owner", {}});
+    return;
+  }
+  Stage(change, now);
+}
+
+void Shard::Offer(const TaskId& task,
+                  const HostId& host,
+                  const DomainId& domain,
+                  Instant now) {
+  const TaskRecord* record = m_record.FindTask(task);
+  const JobRecord* job = m_record.FindJob(JobOf(task));
+  Knowledge& known = m_knowledge[task];
+  CheckInvariant(record != nullptr && known.phase == Phase::kIdle &&
+                     m_ownership == Ownership::kOwned,
+                 "only idle tasks of an owned shard are offered");
+  known.target = host;
+  known.reason = PendingReason::kStarting;
+  m_domains[host] = domain;
+  SetPhase(known, Phase::kOffering, now);
+  SendTo(host, OfferMessage{KeyOf(task, record->generation.Next()), job->demand,
+                            job->task_class});
+}
+
+void Shard::NotePending(const TaskId& task, PendingReason reason) {
+  m_knowledge[task].reason = reason;
+}
+
+void Shard::Evict(const TaskId& task, Instant now) {
+  const TaskRecord* record = m_record.FindTask(task);
+  Knowledge& known = m_knowledge[task];
+  if (record != nullptr && known.phase == Phase::kRunning) {
+    SendStop(*record, known, now);
+  }
+}
+
+std::vector<Shard::View> Shard::Tasks() const {
+  std::vector<View> views;
+  if (m_ownership != Ownership::kOwned) {
+    return views;
+  }
+  for (const JobRecord& job : m_record.jobs) {
+    for (const TaskRecord& record : job.tasks) {
+      const auto known = m_knowledge.find(record.task);
+      if (known != m_knowledge.end()) {
+        views.push_back(View{&job, &record, &known->second});
+      }
+    }
+  }
+  return views;
+}
+
+bool Shard::IsPlaceable(const View& view, Instant now) {
+  return !IsFinal(view.record->status) &&
+         view.knowledge->phase == Phase::kIdle &&
+         !view.job->IsCancelled(*view.record) &&
+         now >= view.knowledge->not_before;
+}
+
+std::vector<Shard::Effect> Shard::TakeEffects() {
+  return std::exchange(m_effects, {});
+}
+
+void Shard::SetPhase(Knowledge& known, Phase phase, Instant now) {
+  known.phase = phase;
+  known.phase_since = now;
+}
+
+void Shard::MakeIdle(const TaskId& task, PendingReason reason, Instant now) {
+  Knowledge& known = m_knowledge[task];
+  if (IsPlaced(known.phase)) {
+    known.pending_since = now;
+  }
+  known.reason = reason;
+  std::erase_if(known.avoid, [&](const auto& row) { return row.second < now; });
+  SetPhase(known, Phase::kIdle, now);
+}
+
+void Shard::Ask(const TaskRecord& record, Knowledge& known, Instant now) {
+  known.asked_at = now;
+  SendTo(record.host, QueryMessage{KeyOf(record.task, record.generation)});
+}
+
+void Shard::SendStop(const TaskRecord& record, Knowledge& known, Instant now) {
+  known.asked_at = now;
+  known.reason = PendingReason::kStopping;
+  if (known.phase != Phase::kStopping) {
+    SetPhase(known, Phase::kStopping, now);
+  }
+  SendTo(record.host, StopMessage{KeyOf(record.task, record.generation)});
+}
+
+void Shard::SendTo(const HostId& host, OwnerMessage message) {
+  m_effects.push_back(Send{host, std::move(message)});
+}
+
+PlacementKey Shard::KeyOf(const TaskId& task, Generation generation) const {
+  return PlacementKey{task, generation, m_id, m_record.epoch};
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/placement/task_supervisor.cc
@@ -0,0 +1,583 @@
+#include "placement/task_supervisor.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace zinniacart {
+namespace {
+
+ReportedState ToReport(WorkerTaskState state) {
+  switch (state) {
+    case WorkerTaskState::kRunning:
+      return ReportedState::kRunning;
+    case WorkerTaskState::kFinished:
+      return ReportedState::kFinished;
+    case WorkerTaskState::kFailed:
+      return ReportedState::kFailed;
+    case WorkerTaskState::kStopped:
+      return ReportedState::kStopped;
+  }
+  return ReportedState::kStopped;
+}
+
+}  // namespace
+
+TaskSupervisor::TaskSupervisor(DomainId domain,
+                               HostId host,
+                               Incarnation incarnation,
+                               PlacementTimes times)
+    : m_domain(std::move(domain)),
+      m_host(std::move(host)),
+      m_incarnation(incarnation),
+      m_times(times) {}
+
+void TaskSupervisor::Rebuild(const Resources& capacity,
+                             const std::vector<WorkerTaskStatus>& tasks,
+                             Instant now) {
+  CheckInvariant(!m_ready, "the ledger is rebuilt once");
+  m_ledger = HostLedger(capacity);
+  for (const WorkerTaskStatus& status : tasks) {
+    Task task;
+    task.generation = status.task.generation;
+    task.shard = status.task.shard;
+    task.demand = status.task.demand;
+    task.task_class = static_cast<TaskClass>(status.task.task_class);
+    task.lease_until = status.lease_until;
+    task.report = ToReport(status.state);
+    task.checkpoint = status.checkpoint;
+    const bool running = status.state == WorkerTaskState::kRunning;
+    task.state = running ? State::kRunning : State::kEnded;
+    if (running) {
+      m_ledger.Adopt(status.task.task, task.demand);
+    }
+    RaiseFloor(status.task.task, task.generation, now);
+    m_tasks[status.task.task] = task;
+  }
+  m_ready = true;
+}
+
+void TaskSupervisor::SetEntries(std::vector<EntryId> entries) {
+  m_entries = std::move(entries);
+}
+
+void TaskSupervisor::SetWorkAllowed(bool allowed, ConfigSerial serial) {
+  CheckInvariant(serial >= m_config_serial, "the configuration never reverts");
+  m_work_allowed = allowed;
+  m_config_serial = serial;
+}
+
+void TaskSupervisor::Handle(const EntryId& from,
+                            const OwnerMessage& message,
+                            Instant now) {
+  std::visit(
+      Visitor{[&](const OfferMessage& offer) { HandleOffer(from, offer, now); },
+              [&](const StartMessage& start) { HandleStart(from, start, now); },
+              [&](const StopMessage& stop) { HandleStop(from, stop, now); },
+              [&](const QueryMessage& query) { HandleQuery(from, query, now); },
+              [&](const RenewMessage& renew) {
+                if (NoteEpoch(from, renew.shard, renew.epoch)) {
+                  HandleRenew(renew, now);
+                }
+              },
+              [&](const AcknowledgeMessage& acknowledge) {
+                HandleAcknowledge(acknowledge, now);
+              }},
+      message);
+}
+
+void TaskSupervisor::HandleOffer(const EntryId& from,
+                                 const OfferMessage& message,
+                                 Instant now) {
+  if (!NoteEpoch(from, message.key.shard, message.key.epoch)) {
+    Refuse(from, message.key, ErrorCode::kStaleEpoch);
+    return;
+  }
+  const TaskId& id = message.key.task;
+  if (const auto refusal = CheckOffer(message, now)) {
+    const auto known = m_tasks.find(id);
+    if (known != m_tasks.end() && known->second.state == State::kEnded) {
+      // How the earlier generation ended has to be known first.
+      SendReport(from, id, known->second);
+    }
+    Refuse(from, message.key, *refusal);
+    return;
+  }
+  const bool held = m_ledger.Hold(id, message.demand);
+  CheckInvariant(held, "an offer that passed its checks fits");
+  Task& task = m_tasks[id];
+  task = Task{};
+  task.generation = message.key.generation;
+  task.shard = message.key.shard;
+  task.owner = from;
+  task.task_class = message.task_class;
+  task.demand = message.demand;
+  task.reserved_until = now + m_times.stamp_validity;
+  m_earmarks.erase(id);
+  m_effects.push_back(Send{from, OfferedMessage{message.key, MakeStamp(now)}});
+}
+
+std::optional<ErrorCode> TaskSupervisor::CheckOffer(const OfferMessage& message,
+                                                    Instant now) {
+  if (!m_ready) {
+    return ErrorCode::kNotReady;
+  }
+  if (!m_work_allowed) {
+    return ErrorCode::kDraining;
+  }
+  const TaskId& id = message.key.task;
+  if (IsBelowFloor(id, message.key.generation)) {
+    return ErrorCode::kPreconditionFailed;
+  }
+  const auto found = m_tasks.find(id);
+  if (found != m_tasks.end()) {
+    const Task& task = found->second;
+    const bool replaceable = task.state == State::kReserved &&
+                             task.generation <= message.key.generation;
+    if (!replaceable) {
+      return ErrorCode::kConflict;
+    }
+  }
+  if (!HasRoom(message)) {
+    if (message.task_class != TaskClass::kBatch) {
+      MakeWay(message, now);
+    }
+    return ErrorCode::kNoRoom;
+  }
+  return std::nullopt;
+}
+
+void TaskSupervisor::HandleStart(const EntryId& from,
+                                 const StartMessage& message,
+                                 Instant now) {
+  const TaskId& id = message.key.task;
+  const auto found = m_tasks.find(id);
+  const bool repeated = found != m_tasks.end() &&
+                        found->second.generation == message.key.generation &&
+                        found->second.state != State::kReserved;
+  if (repeated) {
+    if (found->second.state == State::kRunning ||
+        found->second.state == State::kEnded) {
+      SendReport(from, id, found->second);
+    }
+    return;
+  }
+  if (!NoteEpoch(from, message.key.shard, message.key.epoch)) {
+    Refuse(from, message.key, ErrorCode::kStaleEpoch);
+    return;
+  }
+  if (const auto refusal = CheckStart(message, now)) {
+    const bool reserved = found != m_tasks.end() &&
+                          found->second.generation == message.key.generation;
+    if (reserved) {
+      Drop(id, now);
+    }
+    // A refusal is a promise: a copy of this message must not start it.
+    RaiseFloor(id, message.key.generation, now);
+    Refuse(from, message.key, *refusal);
+    return;
+  }
+  Task& task = found->second;
+  task.state = State::kStarting;
+  task.owner = from;
+  task.not_after = message.stamp.agent_time + m_times.stamp_validity;
+  task.lease_until = message.stamp.agent_time + m_times.run_lease;
+  RaiseFloor(id, task.generation, now);
+  const WorkerTask work{id,
+                        task.generation,
+                        task.shard,
+                        task.demand,
+                        static_cast<int>(task.task_class),
+                        message.run_time,
+                        message.resume_from};
+  m_effects.push_back(StartOnWorker{work, task.not_after, task.lease_until});
+}
+
+std::optional<ErrorCode> TaskSupervisor::CheckStart(const StartMessage& message,
+                                                    Instant now) {
+  if (!m_ready) {
+    return ErrorCode::kNotReady;
+  }
+  const bool fresh = message.stamp.incarnation == m_incarnation &&
+                     now - message.stamp.agent_time <= m_times.stamp_validity;
+  if (!fresh) {
+    return ErrorCode::kStaleStamp;
+  }
+  if (IsBelowFloor(message.key.task, message.key.generation)) {
+    return ErrorCode::kPreconditionFailed;
+  }
+  const bool own_view_is_newer = m_config_serial >= message.config_serial;
+  if (own_view_is_newer && !m_work_allowed) {
+    return ErrorCode::kDraining;
+  }
+  const auto found = m_tasks.find(message.key.task);
+  const bool reserved = found != m_tasks.end() &&
+                        found->second.state == State::kReserved &&
+                        found->second.generation == message.key.generation;
+  return reserved ? std::nullopt : std::optional(ErrorCode::kNoRoom);
+}
+
+void TaskSupervisor::HandleStop(const EntryId& from,
+                                const StopMessage& message,
+                                Instant now) {
+  if (!NoteEpoch(from, message.key.shard, message.key.epoch)) {
+    return;
+  }
+  const auto found = m_tasks.find(message.key.task);
+  const bool here = found != m_tasks.end() &&
+                    found->second.generation <= message.key.generation &&
+                    found->second.state != State::kReserved;
+  if (!here) {
+    AnswerAbsent(from, message.key, now);
+    return;
+  }
+  Task& task = found->second;
+  task.owner = from;
+  if (task.state == State::kEnded) {
+    SendReport(from, message.key.task, task);
+    return;
+  }
+  if (task.state == State::kRunning) {
+    BeginStop(message.key.task, task, now);
+  }
+}
+
+void TaskSupervisor::HandleQuery(const EntryId& from,
+                                 const QueryMessage& message,
+                                 Instant now) {
+  if (!m_ready || !NoteEpoch(from, message.key.shard, message.key.epoch)) {
+    return;
+  }
+  const auto found = m_tasks.find(message.key.task);
+  const bool here = found != m_tasks.end() &&
+                    found->second.generation == message.key.generation &&
+                    found->second.state != State::kReserved;
+  if (!here) {
+    AnswerAbsent(from, message.key, now);
+    return;
+  }
+  found->second.owner = from;
+  const State state = found->second.state;
+  if (state == State::kRunning || state == State::kEnded) {
+    SendReport(from, message.key.task, found->second);
+  }
+}
+
+void TaskSupervisor::HandleRenew(const RenewMessage& message, Instant now) {
+  if (message.stamp.incarnation != m_incarnation) {
+    return;
+  }
+  const Instant until = message.stamp.agent_time + m_times.run_lease;
+  for (auto& [id, task] : m_tasks) {
+    const bool renewable = task.shard == message.shard &&
+                           task.state == State::kRunning &&
+                           now < task.lease_until && until > task.lease_until;
+    if (renewable) {
+      task.lease_until = until;
+      m_effects.push_back(RenewOnWorker{id, task.generation, until});
+    }
+  }
+}
+
+void TaskSupervisor::HandleAcknowledge(const AcknowledgeMessage& message,
+                                       Instant now) {
+  const auto found = m_tasks.find(message.key.task);
+  const bool matches = found != m_tasks.end() &&
+                       found->second.state == State::kEnded &&
+                       found->second.generation == message.key.generation;
+  if (matches) {
+    m_effects.push_back(
+        ForgetOnWorker{message.key.task, message.key.generation});
+    RaiseFloor(message.key.task, message.key.generation, now);
+    m_tasks.erase(found);
+  }
+}
+
+void TaskSupervisor::OnWorkerStarted(const TaskId& id,
+                                     Generation generation,
+                                     const Result<void>& result,
+                                     Instant now) {
+  const auto found = m_tasks.find(id);
+  if (found == m_tasks.end() || found->second.generation != generation ||
+      found->second.state != State::kStarting) {
+    return;
+  }
+  Task& task = found->second;
+  if (result) {
+    task.state = State::kRunning;
+    task.report = ReportedState::kRunning;
+    SendReport(task.owner, id, task);
+    return;
+  }
+  if (result.error().code == ErrorCode::kPreconditionFailed) {
+    const PlacementKey key{id, generation, task.shard,
+                           m_owners[task.shard].epoch};
+    const EntryId owner = task.owner;
+    Drop(id, now);
+    Refuse(owner, key, ErrorCode::kPreconditionFailed);
+  }
+}
+
+void TaskSupervisor::OnWorkerStopped(const TaskId& id,
+                                     Generation generation,
+                                     const Result<CheckpointId>& result,
+                                     Instant now) {
+  const auto found = m_tasks.find(id);
+  const bool stopping = found != m_tasks.end() &&
+                        found->second.generation == generation &&
+                        found->second.state == State::kStopping;
+  // The next worker list tells how it ended; this only makes it sooner.
+  if (stopping && result) {
+    End(id, found->second, ReportedState::kStopped, *result, now);
+  }
+}
+
+void TaskSupervisor::OnWorkerList(const std::vector<WorkerTaskStatus>& tasks,
+                                  Instant asked_at,
+                                  Instant now) {
+  std::set<TaskId> listed;
+  for (const WorkerTaskStatus& status : tasks) {
+    const auto found = m_tasks.find(status.task.task);
+    if (found == m_tasks.end() ||
+        found->second.generation != status.task.generation) {
+      continue;
+    }
+    listed.insert(status.task.task);
+    Task& task = found->second;
+    if (task.state == State::kEnded) {
+      continue;
+    }
+    if (status.state != WorkerTaskState::kRunning) {
+      End(status.task.task, task, ToReport(status.state), status.checkpoint,
+          now);
+    } else if (task.state == State::kStarting) {
+      OnWorkerStarted(status.task.task, task.generation, {}, now);
+    }
+  }
+  std::vector<TaskId> gone;
+  for (const auto& [id, task] : m_tasks) {
+    const bool may_still_start =
+        task.state == State::kReserved ||
+        (task.state == State::kStarting && asked_at <= task.not_after);
+    if (task.state != State::kEnded && !may_still_start &&
+        listed.count(id) == 0 && asked_at > task.not_after) {
+      gone.push_back(id);
+    }
+  }
+  for (const TaskId& id : gone) {
+    // The worker lost it, as when its host restarted.
+    const Task task = m_tasks.at(id);
+    const PlacementKey key{id, task.generation, task.shard,
+                           m_owners[task.shard].epoch};
+    Drop(id, now);
+    m_effects.push_back(
+        Send{task.owner, ReportMessage{key, ReportedState::kAbsent, {}}});
+  }
+}
+
+void TaskSupervisor::Tick(Instant now) {
+  std::vector<TaskId> expired;
+  for (auto& [id, task] : m_tasks) {
+    if (task.state == State::kReserved && now > task.reserved_until) {
+      expired.push_back(id);
+    }
+    if (task.state == State::kRunning && now >= task.lease_until) {
+      BeginStop(id, task, now);
+    }
+    const bool unanswered = task.state == State::kStopping &&
+                            now - task.stop_sent_at >= m_times.resend;
+    if (unanswered) {
+      BeginStop(id, task, now);
+    }
+  }
+  for (const TaskId& id : expired) {
+    Drop(id, now);
+  }
+  std::erase_if(m_floors, [&](const auto& row) {
+    return now > row.second.until && m_tasks.count(row.first) == 0;
+  });
+  std::erase_if(m_earmarks,
+                [&](const auto& row) { return now > row.second.until; });
+  if (now - m_last_heartbeat >= m_times.heartbeat) {
+    m_last_heartbeat = now;
+    SendHeartbeats(now);
+  }
+}
+
+std::vector<TaskSupervisor::Effect> TaskSupervisor::TakeEffects() {
+  return std::exchange(m_effects, {});
+}
+
+std::vector<TaskSupervisor::BatchTask> TaskSupervisor::RunningBatchTasks()
+    const {
+  std::vector<BatchTask> running;
+  for (const auto& [id, task] : m_tasks) {
+    if (task.state == State::kRunning && task.task_class == TaskClass::kBatch) {
+      running.push_back(BatchTask{id, JobOf(id)});
+    }
+  }
+  return running;
+}
+
+void TaskSupervisor::Evict(const TaskId& id, Instant now) {
+  const auto found = m_tasks.find(id);
+  if (found != m_tasks.end() && found->second.state == State::kRunning) {
+    BeginStop(id, found->second, now);
+  }
+}
+
+bool TaskSupervisor::NoteEpoch(const EntryId& from,
+                               ShardId shard,
+                               Epoch epoch) {
+  Ownership& known = m_owners[shard];
+  if (epoch < known.epoch) {
+    return false;
+  }
+  known = Ownership{epoch, from};
+  return true;
+}
+
+bool TaskSupervisor::IsBelowFloor(const TaskId& task,
+                                  Generation generation) const {
+  const auto found = m_floors.find(task);
+  return found != m_floors.end() && generation <= found->second.generation;
+}
+
+void TaskSupervisor::RaiseFloor(const TaskId& task,
+                                Generation generation,
+                                Instant now) {
+  Floor& floor = m_floors[task];
+  floor.generation = std::max(floor.generation, generation);
+  // Stamps given out so far are void after their validity.
+  floor.until = now + m_times.stamp_validity + m_times.drift_margin;
+}
+
+bool TaskSupervisor::HasRoom(const OfferMessage& message) const {
+  Resources wanted = message.demand;
+  for (const auto& [task, earmark] : m_earmarks) {
+    if (task != message.key.task) {
+      wanted += earmark.demand;
+    }
+  }
+  return m_ledger.HasRoom(message.key.task, wanted);
+}
+
+void TaskSupervisor::MakeWay(const OfferMessage& message, Instant now) {
+  Resources coming = m_ledger.capacity() - m_ledger.committed();
+  for (const auto& [id, task] : m_tasks) {
+    if (task.state == State::kStopping) {
+      coming += task.demand;
+    }
+  }
+  for (const auto& [task, earmark] : m_earmarks) {
+    if (task != message.key.task) {
+      coming -= earmark.demand;
+    }
+  }
+  std::vector<TaskId> victims;
+  for (const auto& [id, task] : m_tasks) {
+    if (message.demand.FitsIn(coming)) {
+      break;
+    }
+    if (task.state == State::kRunning && task.task_class == TaskClass::kBatch) {
+      victims.push_back(id);
+      coming += task.demand;
+    }
+  }
+  if (!message.demand.FitsIn(coming)) {
+    return;
+  }
+  m_earmarks[message.key.task] =
+      Earmark{message.demand, now + m_times.stamp_validity};
+  for (const TaskId& id : victims) {
+    BeginStop(id, m_tasks.at(id), now);
+  }
+}
+
+void TaskSupervisor::Refuse(const EntryId& to,
+                            const PlacementKey& key,
+                            ErrorCode code) {
+  m_effects.push_back(Send{to, RefusedMessage{key, code}});
+}
+
+void TaskSupervisor::AnswerAbsent(const EntryId& to,
+                                  const PlacementKey& key,
+                                  Instant now) {
+  const auto found = m_tasks.find(key.task);
+  const bool reserved = found != m_tasks.end() &&
+                        found->second.state == State::kReserved &&
+                        found->second.generation <= key.generation;
+  if (reserved) {
+    Drop(key.task, now);
+  }
+  RaiseFloor(key.task, key.generation, now);
+  m_effects.push_back(Send{to, ReportMessage{key, ReportedState::kAbsent, {}}});
+}
+
+void TaskSupervisor::BeginStop(const TaskId& id, Task& task, Instant now) {
+  task.state = State::kStopping;
+  task.stop_sent_at = now;
+  m_effects.push_back(StopOnWorker{id, task.generation});
+}
+
+void TaskSupervisor::End(const TaskId& id,
+                         Task& task,
+                         ReportedState report,
+                         const CheckpointId& checkpoint,
+                         Instant now) {
+  task.state = State::kEnded;
+  task.report = report;
+  task.checkpoint = checkpoint;
+  m_ledger.Release(id);
+  RaiseFloor(id, task.generation, now);
+  SendReport(task.owner, id, task);
+}
+
+void TaskSupervisor::Drop(const TaskId& id, Instant now) {
+  const auto found = m_tasks.find(id);
+  if (found == m_tasks.end()) {
+    return;
+  }
+  m_ledger.Release(id);
+  if (found->second.state != State::kReserved) {
+    RaiseFloor(id, found->second.generation, now);
+  }
+  m_tasks.erase(found);
+}
+
+void TaskSupervisor::SendReport(const EntryId& to,
+                                const TaskId& id,
+                                const Task& task) {
+  const PlacementKey key{id, task.generation, task.shard,
+                         m_owners[task.shard].epoch};
+  m_effects.push_back(
+      Send{to, ReportMessage{key, task.report, task.checkpoint}});
+}
+
+void TaskSupervisor::SendHeartbeats(Instant now) {
+  std::set<EntryId> owners;
+  for (auto& [id, task] : m_tasks) {
+    if (task.state == State::kReserved || task.state == State::kStarting) {
+      continue;
+    }
+    const Ownership& owner = m_owners[task.shard];
+    const bool orphaned = owner.entry.value().empty() ||
+                          (task.state != State::kEnded &&
+                           now + m_times.run_lease / 2 > task.lease_until) ||
+                          task.state == State::kEnded;
+    if (!orphaned) {
+      owners.insert(owner.entry);
+      SendReport(owner.entry, id, task);
+      continue;
+    }
+    for (const EntryId& entry : m_entries) {
+      owners.insert(entry);
+      SendReport(entry, id, task);
+    }
+  }
+  for (const EntryId& entry : owners) {
+    m_effects.push_back(Send{entry, HeartbeatMessage{MakeStamp(now)}});
+  }
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/platform/http_server.cc
@@ -0,0 +1,50 @@
+#include "platform/http_server.h"
+
+#include <httplib.h>
+
+#include <limits>
+
+#include "platform/elastic_task_queue.h"
+
+namespace zinniacart {
+
+HttpServer::HttpServer(HttpServerLimits limits)
+    : m_server(std::make_unique<httplib::Server>()) {
+  m_server->new_task_queue = [limits] {
+    return new ElasticTaskQueue(limits.most_threads);
+  };
+  m_server->set_tcp_nodelay(true);
+  m_server->set_keep_alive_max_count(std::numeric_limits<int>::max());
+  m_server->set_keep_alive_timeout(limits.idle_seconds);
+  m_server->set_payload_max_length(limits.most_body_bytes);
+}
+
+HttpServer::~HttpServer() {
+  Stop();
+}
+
+bool HttpServer::Start(const Endpoint& endpoint) {
+  if (endpoint.port == 0) {
+    m_port = m_server->bind_to_any_port(endpoint.ip);
+  } else if (m_server->bind_to_port(endpoint.ip, endpoint.port)) {
+    m_port = endpoint.port;
+  }
+  if (m_port <= 0) {
+    return false;
+  }
+  m_thread = std::thread([this] { m_server->listen_after_bind(); });
+  while (!m_server->is_running()) {
+    std::this_thread::yield();
+  }
+  return true;
+}
+
+void HttpServer::Stop() {
+  if (!m_thread.joinable()) {
+    return;
+  }
+  m_server->stop();
+  m_thread.join();
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/platform/http_store.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "platform/http_client.h"
+#include "platform/store.h"
+
+namespace zinniacart {
+
+/// The platform's store over HTTP: versions travel as ETag and If-Match.
+class HttpStore final : public Store {
+ public:
+  /// @param timeout bounds each call; a watch waits longer by its own wait.
+  HttpStore(Endpoint endpoint, Duration timeout);
+
+  Result<StoreValue> Get(const StoreKey& key) override;
+  Result<StoreValue> GetIfChanged(const StoreKey& key,
+                                  StoreVersion known) override;
+  Result<StoreValue> Watch(const StoreKey& key,
+                           StoreVersion known,
+                           Duration wait) override;
+  Result<std::vector<StoreValue>> List(const std::string& prefix) override;
+  Result<StoreVersion> CompareAndSwap(const StoreKey& key,
+                                      const std::string& bytes,
+                                      StoreVersion expected,
+                                      const LeaseId& lease) override;
+  Result<void> Delete(const StoreKey& key, StoreVersion expected) override;
+  Result<LeaseId> OpenLease(Duration ttl) override;
+  Result<void> RenewLease(const LeaseId& lease) override;
+
+ private:
+  HttpClient m_client;
+};
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/rpc/channel_pool.cc
@@ -0,0 +1,54 @@
+#include "rpc/channel_pool.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+
+namespace zinniacart {
+namespace {
+
+constexpr int kPingIntervalMs = 2'000;
+constexpr int kPingTimeoutMs = 1'000;
+constexpr int kFirstReconnectMs = 100;
+constexpr int kLongestReconnectMs = 1'000;
+constexpr int kLargestMessageBytes = 32 << 20;
+
+std::shared_ptr<grpc::Channel> MakeChannel(const std::string& address,
+                                           int number) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kPingIntervalMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kPingTimeoutMs);
+  arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kFirstReconnectMs);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kFirstReconnectMs);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kLongestReconnectMs);
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetInt("zinniacart.channel", number);
+  arguments.SetMaxReceiveMessageSize(kLargestMessageBytes);
+  return grpc::CreateCustomChannel(
+      "ipv4:" + address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+}  // namespace
+
+std::shared_ptr<grpc::Channel> ChannelPool::Get(const std::string& address) {
+  const std::lock_guard lock(m_mutex);
+  auto& channel = m_channels[address];
+  if (!channel) {
+    channel = MakeChannel(address, ++m_channel_count);
+  }
+  return channel;
+}
+
+bool ChannelPool::IsConnected(const std::string& address, Duration patience) {
+  const auto deadline = std::chrono::system_clock::now() + patience;
+  return Get(address)->WaitForConnected(deadline);
+}
+
+void ChannelPool::Replace(const std::string& address) {
+  const std::lock_guard lock(m_mutex);
+  m_channels.erase(address);
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/rpc/server_builder.cc
@@ -0,0 +1,36 @@
+#include "rpc/server_builder.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace zinniacart {
+namespace {
+
+constexpr int kLargestMessageBytes = 32 << 20;
+constexpr int kShortestPingIntervalMs = 1'000;
+constexpr int kPingIntervalMs = 30'000;
+constexpr int kPingTimeoutMs = 5'000;
+
+}  // namespace
+
+RunningServer ServeRpc(grpc::Service& service,
+                       const std::string& ip,
+                       int port) {
+  RunningServer running;
+  grpc::ServerBuilder builder;
+  builder.AddListeningPort(ip + ":" + std::to_string(port),
+                           grpc::InsecureServerCredentials(), &running.port);
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  builder.AddChannelArgument(
+      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+      kShortestPingIntervalMs);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, kPingIntervalMs);
+  builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kPingTimeoutMs);
+  builder.SetMaxReceiveMessageSize(kLargestMessageBytes);
+  builder.RegisterService(&service);
+  running.server = builder.BuildAndStart();
+  return running;
+}
+
+}  // namespace zinniacart
