--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -22,6 +22,8 @@
   if(TESTS)
     add_executable(${NAME}_tests ${TESTS} ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
     target_compile_options(${NAME}_tests PRIVATE ${ZC_WARNINGS})
+    # The leak detector redefines "new", which breaks standard headers.
+    target_compile_definitions(${NAME}_tests PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
     target_link_libraries(${NAME}_tests PRIVATE zc_${NAME} PkgConfig::CPPUTEST)
     add_test(NAME ${NAME} COMMAND ${NAME}_tests)
   endif()
--- a/packages/placement/messages.h
+++ b/packages/placement/messages.h
@@ -71,9 +71,16 @@
   Stamp stamp;
 };
 
-/// Agent to owner: the offer or start was refused; this generation does not
-/// run here and never will.
-struct RefusedMessage {
+/// Agent to owner: no room is held for the offer. It says nothing about a
+/// start of the same generation: a late copy of an offer is refused too.
+struct OfferRefusedMessage {
+  PlacementKey key;
+  ErrorCode code = ErrorCode::kInternal;
+};
+
+/// Agent to owner: the start was refused; this generation does not run here
+/// and, unless the epoch was stale, never will.
+struct StartRefusedMessage {
   PlacementKey key;
   ErrorCode code = ErrorCode::kInternal;
 };
@@ -94,8 +101,11 @@
   Stamp stamp;
 };
 
-using AgentMessage = std::
-    variant<OfferedMessage, RefusedMessage, ReportMessage, HeartbeatMessage>;
+using AgentMessage = std::variant<OfferedMessage,
+                                  OfferRefusedMessage,
+                                  StartRefusedMessage,
+                                  ReportMessage,
+                                  HeartbeatMessage>;
 
 /// Joins lambdas into one visitor.
 template <typename... Handlers>
--- a/packages/placement/shard.cc
+++ b/packages/placement/shard.cc
@@ -281,7 +281,6 @@
   if (m_commit) {
     return;
   }
-  StageStamped(now);
   if (m_staged.empty()) {
     if (m_ownership == Ownership::kReleasing) {
       ShardRecord record = m_record;
@@ -299,7 +298,10 @@
   ShardRecord record = m_record;
   std::vector<ShardChange> applied;
   for (ShardChange& change : std::exchange(m_staged, {})) {
-    const auto result = ApplyChange(change, record);
+    const auto result =
+        IsStillWanted(change, now)
+            ? ApplyChange(change, record)
+            : Fail(ErrorCode::kStaleStamp, "the stamp is too old");
     if (result) {
       applied.push_back(std::move(change));
     } else {
@@ -325,24 +327,14 @@
              change);
 }
 
-void Shard::StageStamped(Instant now) {
-  for (const JobRecord& job : m_record.jobs) {
-    for (const TaskRecord& record : job.tasks) {
-      Knowledge& known = m_knowledge[record.task];
-      if (known.phase != Phase::kStamped) {
-        continue;
-      }
-      const bool fresh = now - known.phase_since < m_times.stamp_validity / 2;
-      const bool unwanted =
-          job.IsCancelled(record) || m_ownership != Ownership::kOwned;
-      if (!fresh || unwanted) {
-        MakeIdle(record.task, PendingReason::kNotTriedYet, now);
-        continue;
-      }
-      SetPhase(known, Phase::kCommitting, now);
-      Stage(AssignChange{record.task, known.target}, now);
-    }
+bool Shard::IsStillWanted(const ShardChange& change, Instant now) const {
+  const auto* assign = std::get_if<AssignChange>(&change);
+  if (assign == nullptr) {
+    return true;
   }
+  const Knowledge& known = m_knowledge.at(assign->task);
+  return m_ownership == Ownership::kOwned &&
+         now - known.phase_since < m_times.stamp_validity / 2;
 }
 
 void Shard::IssueCommit(ShardRecord record,
@@ -516,8 +508,11 @@
   std::visit(Visitor{[&](const OfferedMessage& offered) {
                        HandleOffered(host, offered, now);
                      },
-                     [&](const RefusedMessage& refused) {
-                       HandleRefused(host, refused, now);
+                     [&](const OfferRefusedMessage& refused) {
+                       HandleOfferRefused(host, refused, now);
+                     },
+                     [&](const StartRefusedMessage& refused) {
+                       HandleStartRefused(host, refused, now);
                      },
                      [&](const ReportMessage& report) {
                        HandleReport(host, report, now);
@@ -546,28 +541,39 @@
     return;
   }
   known.stamp = message.stamp;
-  SetPhase(known, Phase::kStamped, now);
-  if (m_staged.empty()) {
-    m_staged_since = now;
-  }
+  SetPhase(known, Phase::kCommitting, now);
+  Stage(AssignChange{message.key.task, host}, now);
 }
 
-void Shard::HandleRefused(const HostId& host,
-                          const RefusedMessage& message,
-                          Instant now) {
+void Shard::HandleOfferRefused(const HostId& host,
+                               const OfferRefusedMessage& message,
+                               Instant now) {
   const TaskRecord* record = m_record.FindTask(message.key.task);
   if (record == nullptr || message.key.epoch != m_record.epoch) {
     return;
   }
   Knowledge& known = m_knowledge[message.key.task];
-  const bool offer_refused =
-      known.phase == Phase::kOffering && known.target == host &&
-      message.key.generation == record->generation.Next();
-  const bool start_refused = known.phase == Phase::kStarting &&
-                             record->host == host &&
-                             message.key.generation == record->generation &&
-                             message.code != ErrorCode::kStaleEpoch;
-  if (offer_refused || start_refused) {
+  const bool expected = known.phase == Phase::kOffering &&
+                        known.target == host &&
+                        message.key.generation == record->generation.Next();
+  if (expected) {
+    known.avoid[host] = now + kAvoidance;
+    MakeIdle(message.key.task, PendingReason::kNoRoomNow, now);
+  }
+}
+
+void Shard::HandleStartRefused(const HostId& host,
+                               const StartRefusedMessage& message,
+                               Instant now) {
+  const TaskRecord* record = m_record.FindTask(message.key.task);
+  if (record == nullptr || message.code == ErrorCode::kStaleEpoch) {
+    return;
+  }
+  Knowledge& known = m_knowledge[message.key.task];
+  const bool expected = known.phase == Phase::kStarting &&
+                        record->host == host &&
+                        message.key.generation == record->generation;
+  if (expected) {
     known.avoid[host] = now + kAvoidance;
     MakeIdle(message.key.task, PendingReason::kNoRoomNow, now);
   }
@@ -690,7 +696,6 @@
         SendStop(record, known, now);
       }
       return;
-    case Phase::kStamped:
     case Phase::kCommitting:
     case Phase::kReporting:
       return;
--- a/packages/placement/shard.h
+++ b/packages/placement/shard.h
@@ -76,8 +76,7 @@
   enum class Phase {
     kIdle,        ///< Nothing runs; it may be placed.
     kOffering,    ///< A host was asked for room.
-    kStamped,     ///< The host holds room and gave a stamp.
-    kCommitting,  ///< The assignment is being written.
+    kCommitting,  ///< It gave a stamp; the assignment is being written.
     kStarting,    ///< The host was told to start.
     kRunning,     ///< The host reported it running.
     kStopping,    ///< The host was told to stop.
@@ -197,7 +196,7 @@
   void Claim(ShardRecord record, StoreVersion version, Instant now);
   void ResolveCommit(const Result<StoreValue>& value, Instant now);
   void Flush(Instant now);
-  void StageStamped(Instant now);
+  bool IsStillWanted(const ShardChange& change, Instant now) const;
   void Stage(ShardChange change, Instant now);
   void IssueCommit(ShardRecord record,
                    std::vector<ShardChange> changes,
@@ -217,9 +216,12 @@
   void HandleOffered(const HostId& host,
                      const OfferedMessage& message,
                      Instant now);
-  void HandleRefused(const HostId& host,
-                     const RefusedMessage& message,
-                     Instant now);
+  void HandleOfferRefused(const HostId& host,
+                          const OfferRefusedMessage& message,
+                          Instant now);
+  void HandleStartRefused(const HostId& host,
+                          const StartRefusedMessage& message,
+                          Instant now);
   void HandleReport(const HostId& host,
                     const ReportMessage& message,
                     Instant now);
--- a/packages/placement/shard_owner.cc
+++ b/packages/placement/shard_owner.cc
@@ -150,18 +150,20 @@
       found->second.OnAgentMessage(host, message, may_renew, now);
     }
   };
-  std::visit(Visitor{[&](const OfferedMessage& kind) { to_shard(kind.key); },
-                     [&](const RefusedMessage& kind) { to_shard(kind.key); },
-                     [&](const ReportMessage& kind) {
-                       NoteHealth(host, kind, now);
-                       to_shard(kind.key);
-                     },
-                     [&](const HeartbeatMessage&) {
-                       for (auto& [id, shard] : m_shards) {
-                         shard.OnAgentMessage(host, message, may_renew, now);
-                       }
-                     }},
-             message);
+  std::visit(
+      Visitor{[&](const OfferedMessage& kind) { to_shard(kind.key); },
+              [&](const OfferRefusedMessage& kind) { to_shard(kind.key); },
+              [&](const StartRefusedMessage& kind) { to_shard(kind.key); },
+              [&](const ReportMessage& kind) {
+                NoteHealth(host, kind, now);
+                to_shard(kind.key);
+              },
+              [&](const HeartbeatMessage&) {
+                for (auto& [id, shard] : m_shards) {
+                  shard.OnAgentMessage(host, message, may_renew, now);
+                }
+              }},
+      message);
 }
 
 void ShardOwner::NoteHealth(const HostId& host,
@@ -227,6 +229,18 @@
   return entry == nullptr ? std::nullopt : std::optional(*entry);
 }
 
+void ShardOwner::EvictAny(Instant now) {
+  for (const Shard::View& view : Tasks()) {
+    const bool movable = view.job->task_class == TaskClass::kBatch &&
+                         view.knowledge->phase == Shard::Phase::kRunning;
+    if (movable) {
+      m_shards.at(ShardOf(view.job->team, m_shard_count))
+          .Evict(view.record->task, now);
+      return;
+    }
+  }
+}
+
 std::vector<ShardId> ShardOwner::OwnedShards() const {
   std::vector<ShardId> owned;
   for (const auto& [id, shard] : m_shards) {
--- a/packages/placement/shard_owner.h
+++ b/packages/placement/shard_owner.h
@@ -102,6 +102,9 @@
   /// @returns the live entry that should own the team's shard.
   std::optional<EntryInfo> PreferredOwner(const TeamId& team) const;
 
+  /// Moves the first running batch task there is, to be placed anew.
+  void EvictAny(Instant now);
+
   /// Claims, recovers, schedules. Call every few ten milliseconds.
   void Tick(const HostTable& hosts, Instant now);
 
--- a/packages/placement/task_supervisor.cc
+++ b/packages/placement/task_supervisor.cc
@@ -90,7 +90,7 @@
                                  const OfferMessage& message,
                                  Instant now) {
   if (!NoteEpoch(from, message.key.shard, message.key.epoch)) {
-    Refuse(from, message.key, ErrorCode::kStaleEpoch);
+    RefuseOffer(from, message.key, ErrorCode::kStaleEpoch);
     return;
   }
   const TaskId& id = message.key.task;
@@ -100,7 +100,7 @@
       // How the earlier generation ended has to be known first.
       SendReport(from, id, known->second);
     }
-    Refuse(from, message.key, *refusal);
+    RefuseOffer(from, message.key, *refusal);
     return;
   }
   const bool held = m_ledger.Hold(id, message.demand);
@@ -163,7 +163,7 @@
     return;
   }
   if (!NoteEpoch(from, message.key.shard, message.key.epoch)) {
-    Refuse(from, message.key, ErrorCode::kStaleEpoch);
+    RefuseStart(from, message.key, ErrorCode::kStaleEpoch);
     return;
   }
   if (const auto refusal = CheckStart(message, now)) {
@@ -174,7 +174,7 @@
     }
     // A refusal is a promise: a copy of this message must not start it.
     RaiseFloor(id, message.key.generation, now);
-    Refuse(from, message.key, *refusal);
+    RefuseStart(from, message.key, *refusal);
     return;
   }
   Task& task = found->second;
@@ -314,7 +314,7 @@
                            m_owners[task.shard].epoch};
     const EntryId owner = task.owner;
     Drop(id, now);
-    Refuse(owner, key, ErrorCode::kPreconditionFailed);
+    RefuseStart(owner, key, ErrorCode::kPreconditionFailed);
   }
 }
 
@@ -494,10 +494,16 @@
   }
 }
 
-void TaskSupervisor::Refuse(const EntryId& to,
-                            const PlacementKey& key,
-                            ErrorCode code) {
-  m_effects.push_back(Send{to, RefusedMessage{key, code}});
+void TaskSupervisor::RefuseOffer(const EntryId& to,
+                                 const PlacementKey& key,
+                                 ErrorCode code) {
+  m_effects.push_back(Send{to, OfferRefusedMessage{key, code}});
+}
+
+void TaskSupervisor::RefuseStart(const EntryId& to,
+                                 const PlacementKey& key,
+                                 ErrorCode code) {
+  m_effects.push_back(Send{to, StartRefusedMessage{key, code}});
 }
 
 void TaskSupervisor::AnswerAbsent(const EntryId& to,
--- a/packages/placement/task_supervisor.h
+++ b/packages/placement/task_supervisor.h
@@ -167,7 +167,8 @@
   void RaiseFloor(const TaskId& task, Generation generation, Instant now);
   bool HasRoom(const OfferMessage& message) const;
   void MakeWay(const OfferMessage& message, Instant now);
-  void Refuse(const EntryId& to, const PlacementKey& key, ErrorCode code);
+  void RefuseOffer(const EntryId& to, const PlacementKey& key, ErrorCode code);
+  void RefuseStart(const EntryId& to, const PlacementKey& key, ErrorCode code);
   void AnswerAbsent(const EntryId& to, const PlacementKey& key, Instant now);
   void BeginStop(const TaskId& id, Task& task, Instant now);
   void End(const TaskId& id,
--- a/packages/placement/wire_conversion.cc
+++ b/packages/placement/wire_conversion.cc
@@ -19,6 +19,17 @@
   out.set_epoch(key.epoch.value());
 }
 
+template <typename Message>
+void WriteRefused(const Message& refused, wire::Refused& out) {
+  WriteKey(refused.key, out);
+  out.set_code(static_cast<std::uint32_t>(refused.code));
+}
+
+template <typename Message>
+Message ReadRefused(const wire::Refused& in) {
+  return Message{ReadKey(in), static_cast<ErrorCode>(in.code())};
+}
+
 void WriteResources(const Resources& resources, wire::Resources& out) {
   out.set_millicores(resources.millicores);
   out.set_memory_mb(resources.memory_mb);
@@ -124,10 +135,11 @@
                 WriteKey(offered.key, kind);
                 *kind.mutable_stamp() = ToWire(offered.stamp);
               },
-              [&](const RefusedMessage& refused) {
-                auto& kind = *out.mutable_refused();
-                WriteKey(refused.key, kind);
-                kind.set_code(static_cast<std::uint32_t>(refused.code));
+              [&](const OfferRefusedMessage& refused) {
+                WriteRefused(refused, *out.mutable_offer_refused());
+              },
+              [&](const StartRefusedMessage& refused) {
+                WriteRefused(refused, *out.mutable_start_refused());
               },
               [&](const ReportMessage& report) {
                 auto& kind = *out.mutable_report();
@@ -148,9 +160,10 @@
     case wire::AgentMessage::kOffered:
       return OfferedMessage{ReadKey(message.offered()),
                             FromWire(message.offered().stamp())};
-    case wire::AgentMessage::kRefused:
-      return RefusedMessage{ReadKey(message.refused()),
-                            static_cast<ErrorCode>(message.refused().code())};
+    case wire::AgentMessage::kOfferRefused:
+      return ReadRefused<OfferRefusedMessage>(message.offer_refused());
+    case wire::AgentMessage::kStartRefused:
+      return ReadRefused<StartRefusedMessage>(message.start_refused());
     case wire::AgentMessage::kReport:
       return ReportMessage{ReadKey(message.report()),
                            static_cast<ReportedState>(message.report().state()),
