--- a/packages/agent/agent_daemon.cc
+++ b/packages/agent/agent_daemon.cc
@@ -268,7 +268,8 @@
     HostAnnouncement announcement;
     announcement.host = m_settings.host;
     announcement.domain = m_settings.domain;
-    announcement.address = m_settings.rpc.ip + ":" + std::to_string(m_rpc_port);
+    const Endpoint own{m_settings.rpc.ip, m_rpc_port};
+    announcement.address = m_settings.advertised.value_or(own).ToString();
     announcement.stamp = snapshot.stamp;
     announcement.capacity = snapshot.capacity;
     announcement.committed = snapshot.committed;
--- a/packages/agent/agent_service.cc
+++ b/packages/agent/agent_service.cc
@@ -84,8 +84,9 @@
     wire::ForwardReply* reply) {
   grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
   reply->set_request_id(request->request_id());
-  const RequestOutcome outcome = m_pool.Inquire(
-      RequestId(request->request_id()), Incarnation(request->incarnation()));
+  const RequestOutcome outcome =
+      m_pool.Inquire(RequestId(request->request_id()),
+                     Incarnation(request->incarnation()), request->peek());
   WriteOutcome(outcome, *reply);
   reactor->Finish(grpc::Status::OK);
   return reactor;
--- a/packages/agent/agent_settings.h
+++ b/packages/agent/agent_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,7 +14,8 @@
 struct AgentSettings {
   HostId host;
   DomainId domain;
-  Endpoint rpc;     ///< Where entries reach it.
+  Endpoint rpc;     ///< Where it listens for entries.
+  std::optional<Endpoint> advertised;  ///< Where entries reach it, if not so.
   Endpoint local;   ///< Where backend servers, metrics and health reach it.
   Endpoint worker;  ///< The worker on this host.
   std::vector<Endpoint> entries;  ///< Some entries; they name the others.
--- a/packages/agent/backend_pool.cc
+++ b/packages/agent/backend_pool.cc
@@ -130,12 +130,16 @@
 }
 
 RequestOutcome BackendPool::Inquire(const RequestId& request,
-                                    Incarnation incarnation) {
+                                    Incarnation incarnation,
+                                    bool peek) {
   if (incarnation != m_incarnation) {
     return RequestOutcomeUnknown{
         Error{ErrorCode::kOutcomeUnknown, "the agent was restarted", {}}};
   }
   const std::lock_guard lock(m_mutex);
+  if (peek && !m_ledger.Knows(request)) {
+    return RequestRunning{};
+  }
   return m_ledger.Inquire(request, m_clock.Now());
 }
 
--- a/packages/agent/backend_pool.h
+++ b/packages/agent/backend_pool.h
@@ -52,8 +52,12 @@
   /// its id was seen before; then `done` tells what became of it.
   void Forward(ForwardedRequest forwarded, Done done);
 
+  /// @param peek only look: one that is not here counts as running, since
+  ///             it may be on its way.
   /// @returns what became of a request that was sent to `incarnation`.
-  RequestOutcome Inquire(const RequestId& request, Incarnation incarnation);
+  RequestOutcome Inquire(const RequestId& request,
+                         Incarnation incarnation,
+                         bool peek);
 
   /// Takes the declared limits and availability.
   void SetConfiguration(const Configuration& configuration);
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -29,6 +29,7 @@
   std::string local = "127.0.0.1:0";
   std::string store;
   std::string worker;
+  std::string advertised;
   std::vector<std::string> entries;
   std::uint32_t shards = EntrySettings().shards;
   int caller_threads = EntrySettings().caller_threads;
@@ -125,6 +126,13 @@
     }
     *address.endpoint = *endpoint;
   }
+  if (!raw.advertised.empty()) {
+    const auto endpoint = Endpoint::Parse(raw.advertised, "advertise");
+    if (!endpoint) {
+      return tl::unexpected(endpoint.error());
+    }
+    settings.advertised = *endpoint;
+  }
   if (raw.entries.empty()) {
     return Fail(ErrorCode::kInvalidArgument, "at least one is needed", "entry");
   }
@@ -218,6 +226,9 @@
   app.add_option("--local", raw.local,
                  "agent: ip:port for backend servers, health and metrics")
       ->envname("ZINNIACART_LOCAL");
+  app.add_option("--advertise", raw.advertised,
+                 "agent: ip:port that entries reach, if not that of --rpc")
+      ->envname("ZINNIACART_ADVERTISE");
   app.add_option("--worker", raw.worker, "agent: ip:port of the worker")
       ->envname("ZINNIACART_WORKER");
   app.add_option("--entry", raw.entries, "agent: ip:port of an entry's rpc")
--- a/packages/entry/idempotency_keys.cc
+++ b/packages/entry/idempotency_keys.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetryPause{30};
+/// A claimed attempt may be on its way to its agent for this long; only then
+/// is the agent asked for the promise that ends it.
+constexpr Duration kOnItsWay{1'000};
 
 std::uint64_t Fingerprint(const CallerRequest& request) {
   return StableHash(request.service.value() + "\n" + request.method + "\n" +
@@ -79,106 +82,92 @@
                                     const std::string& key) {
   const StoreKey record_key = RecordKey(request, key);
   std::set<BackendId> excluded;
-  std::optional<Held> held;
-  while (true) {
+  // The version to swap from: 0 while no record is known.
+  StoreVersion version;
+  while (m_clock.Now() < request.deadline) {
     auto attempt = m_dispatcher.Prepare(request, excluded);
+    const auto claimed = attempt
+                             ? Claim(request, record_key, version, *attempt)
+                             : GiveUp(record_key, version);
+    if (!claimed && claimed.error().code == ErrorCode::kPreconditionFailed) {
+      if (attempt) {
+        m_dispatcher.Abandon(*attempt);
+      }
+      auto winner = AwaitWinner(request, record_key);
+      if (auto* outcome = std::get_if<RequestOutcome>(&winner)) {
+        return *outcome;
+      }
+      version = std::get<StoreVersion>(winner);
+      continue;
+    }
     if (!attempt) {
-      const RequestOutcome refusal = RequestNotRun{attempt.error()};
-      // A repetition may be answered even where nothing new can be sent.
-      return held ? GiveUp(request, record_key, *held, refusal)
-                  : FollowWinner(request, record_key);
+      return claimed ? RequestOutcome(RequestNotRun{attempt.error()})
+                     : KeyUnchecked();
     }
-    auto decision = held ? Reclaim(request, record_key, *held, *attempt)
-                         : Claim(request, record_key, *attempt);
-    if (auto* outcome = std::get_if<RequestOutcome>(&decision)) {
+    if (!claimed) {
       m_dispatcher.Abandon(*attempt);
-      return *outcome;
+      return KeyUnchecked();
     }
-    held = std::get<Held>(std::move(decision));
+    version = *claimed;
     RequestOutcome outcome = m_dispatcher.Send(request, *attempt);
     if (!std::holds_alternative<RequestNotRun>(outcome)) {
-      Complete(record_key, *held, outcome, request.deadline);
+      Complete(record_key, MakeClaim(request, *attempt), version, outcome,
+               request.deadline);
       return outcome;
     }
     excluded.insert(attempt->route.backend);
-    const bool retry =
-        m_clock.Now() < request.deadline && m_dispatcher.MayRetry();
-    if (!retry) {
-      return GiveUp(request, record_key, *held, outcome);
+    if (!m_dispatcher.MayRetry()) {
+      const auto released = GiveUp(record_key, version);
+      return released ? outcome : AfterLostRelease(request, record_key);
     }
   }
+  return KeyUnchecked();
 }
 
-RequestOutcome IdempotencyKeys::GiveUp(const CallerRequest& request,
-                                       const StoreKey& key,
-                                       const Held& held,
-                                       const RequestOutcome& refusal) {
-  // Nothing has run: leave the key as if it had never come.
-  const auto deleted = m_store.Delete(key, held.version);
-  const bool taken =
-      !deleted && deleted.error().code == ErrorCode::kPreconditionFailed;
-  return taken ? FollowWinner(request, key) : refusal;
+Result<StoreVersion> IdempotencyKeys::Claim(const CallerRequest& request,
+                                            const StoreKey& key,
+                                            StoreVersion version,
+                                            const Attempt& attempt) {
+  return Write(key, MakeClaim(request, attempt), version, request.deadline);
 }
 
-RequestOutcome IdempotencyKeys::FollowWinner(const CallerRequest& request,
-                                             const StoreKey& key) {
+Result<StoreVersion> IdempotencyKeys::GiveUp(const StoreKey& key,
+                                             StoreVersion version) {
+  if (version != StoreVersion(0)) {
+    // Nothing has run: leave the key as if it had never come.
+    const auto deleted = m_store.Delete(key, version);
+    if (!deleted) {
+      return tl::unexpected(deleted.error());
+    }
+    return StoreVersion(0);
+  }
   const auto known = m_store.Get(key);
-  if (!known && known.error().code == ErrorCode::kNotFound) {
-    return NotRun(ErrorCode::kNoBackend, "no backend server can be reached");
+  if (known) {
+    return Fail(ErrorCode::kPreconditionFailed, "the key was taken");
   }
-  if (!known) {
-    return KeyUnchecked();
+  if (known.error().code == ErrorCode::kNotFound) {
+    return StoreVersion(0);
   }
-  auto decision = Follow(request, key, *known, Attempt{});
-  const auto* outcome = std::get_if<RequestOutcome>(&decision);
-  return outcome ? *outcome
-                 : NotRun(ErrorCode::kNoBackend, "the earlier try did not run");
+  return tl::unexpected(known.error());
 }
 
-IdempotencyKeys::Decision IdempotencyKeys::Claim(const CallerRequest& request,
-                                                 const StoreKey& key,
-                                                 const Attempt& attempt) {
-  const wire::KeyRecord record = MakeClaim(request, attempt);
-  while (m_clock.Now() < request.deadline) {
-    const auto version = Write(key, record, StoreVersion(0), request.deadline);
-    if (version) {
-      return Held{record, *version};
-    }
-    if (version.error().code != ErrorCode::kPreconditionFailed) {
-      return KeyUnchecked();
-    }
-    const auto known = m_store.Get(key);
-    if (known) {
-      return Follow(request, key, *known, attempt);
-    }
-    if (known.error().code != ErrorCode::kNotFound) {
-      return KeyUnchecked();
-    }
-  }
-  return KeyUnchecked();
+RequestOutcome IdempotencyKeys::AfterLostRelease(const CallerRequest& request,
+                                                 const StoreKey& key) {
+  auto winner = AwaitWinner(request, key);
+  const auto* outcome = std::get_if<RequestOutcome>(&winner);
+  return outcome ? *outcome : KeyUnchecked();
 }
 
-IdempotencyKeys::Decision IdempotencyKeys::Reclaim(const CallerRequest& request,
-                                                   const StoreKey& key,
-                                                   const Held& held,
-                                                   const Attempt& attempt) {
-  const wire::KeyRecord record = MakeClaim(request, attempt);
-  const auto version = Write(key, record, held.version, request.deadline);
-  if (version) {
-    return Held{record, *version};
-  }
-  if (version.error().code == ErrorCode::kPreconditionFailed) {
-    return FollowWinner(request, key);
+IdempotencyKeys::Winner IdempotencyKeys::AwaitWinner(
+    const CallerRequest& request,
+    const StoreKey& key) {
+  const auto known = m_store.Get(key);
+  if (!known) {
+    const bool gone = known.error().code == ErrorCode::kNotFound;
+    return gone ? Winner(StoreVersion(0)) : Winner(KeyUnchecked());
   }
-  return KeyUnchecked();
-}
-
-IdempotencyKeys::Decision IdempotencyKeys::Follow(const CallerRequest& request,
-                                                  const StoreKey& key,
-                                                  const StoreValue& value,
-                                                  const Attempt& attempt) {
   wire::KeyRecord record;
-  if (!record.ParseFromString(value.bytes)) {
+  if (!record.ParseFromString(known->bytes)) {
     return RequestOutcome(RequestOutcomeUnknown{
         Error{ErrorCode::kInternal, "unreadable key record", {}}});
   }
@@ -189,19 +178,15 @@
   if (record.state() == wire::KEY_DONE) {
     return Replay(record);
   }
-  const RequestOutcome earlier =
-      m_dispatcher.Resolve(RequestId(record.request_id()), record.address(),
-                           Incarnation(record.incarnation()), request.deadline);
-  if (!std::holds_alternative<RequestNotRun>(earlier)) {
-    Complete(key, Held{record, value.version}, earlier, request.deadline);
-    return earlier;
-  }
-  const Held held{record, value.version};
-  if (attempt.request.value().empty()) {
-    return held;
+  const RequestOutcome earlier = m_dispatcher.Resolve(
+      RequestId(record.request_id()), record.address(),
+      Incarnation(record.incarnation()), kOnItsWay, request.deadline);
+  if (std::holds_alternative<RequestNotRun>(earlier)) {
+    // It never ran and, by its agent's promise, never will.
+    return known->version;
   }
-  // The earlier attempt never ran and, by its agent's promise, never will.
-  return Reclaim(request, key, held, attempt);
+  Complete(key, record, known->version, earlier, request.deadline);
+  return earlier;
 }
 
 Result<StoreVersion> IdempotencyKeys::Write(const StoreKey& key,
@@ -237,27 +222,28 @@
 }
 
 void IdempotencyKeys::Complete(const StoreKey& key,
-                               Held held,
+                               wire::KeyRecord record,
+                               StoreVersion version,
                                const RequestOutcome& outcome,
                                Instant deadline) {
   const auto* answered = std::get_if<RequestAnswered>(&outcome);
   if (answered == nullptr) {
     return;
   }
-  held.record.set_state(wire::KEY_DONE);
-  held.record.set_status(answered->answer.status);
+  record.set_state(wire::KEY_DONE);
+  record.set_status(answered->answer.status);
   const bool keep = answered->answer.body.size() <= kLargestKeptBody;
-  held.record.set_body_kept(keep);
+  record.set_body_kept(keep);
   if (keep) {
-    held.record.set_body(answered->answer.body);
+    record.set_body(answered->answer.body);
     for (const auto& [name, value] : answered->answer.headers) {
-      auto& header = *held.record.add_headers();
+      auto& header = *record.add_headers();
       header.set_name(name);
       header.set_value(value);
     }
   }
   // Where this fails, the agent still remembers the answer for a while.
-  Write(key, held.record, held.version, deadline);
+  Write(key, record, version, deadline);
 }
 
 Result<LeaseId> IdempotencyKeys::Lease() {
--- a/packages/entry/idempotency_keys.h
+++ b/packages/entry/idempotency_keys.h
@@ -36,35 +36,26 @@
   RequestOutcome Run(const CallerRequest& request, const std::string& key);
 
  private:
-  struct Held {
-    wire::KeyRecord record;
-    StoreVersion version;
-  };
-  using Decision = std::variant<RequestOutcome, Held>;
+  /// What became of the attempt that holds the key; or, where that has not
+  /// run and never will, the version to claim the key from (0: it is free).
+  using Winner = std::variant<RequestOutcome, StoreVersion>;
 
-  Decision Claim(const CallerRequest& request,
-                 const StoreKey& key,
-                 const Attempt& attempt);
-  Decision Reclaim(const CallerRequest& request,
-                   const StoreKey& key,
-                   const Held& held,
-                   const Attempt& attempt);
-  RequestOutcome GiveUp(const CallerRequest& request,
-                        const StoreKey& key,
-                        const Held& held,
-                        const RequestOutcome& refusal);
-  RequestOutcome FollowWinner(const CallerRequest& request,
-                              const StoreKey& key);
-  Decision Follow(const CallerRequest& request,
-                  const StoreKey& key,
-                  const StoreValue& value,
-                  const Attempt& attempt);
+  Result<StoreVersion> Claim(const CallerRequest& request,
+                             const StoreKey& key,
+                             StoreVersion version,
+                             const Attempt& attempt);
+  /// Frees the key, so that "not-run" is true whoever else holds an attempt.
+  Result<StoreVersion> GiveUp(const StoreKey& key, StoreVersion version);
+  RequestOutcome AfterLostRelease(const CallerRequest& request,
+                                  const StoreKey& key);
+  Winner AwaitWinner(const CallerRequest& request, const StoreKey& key);
   Result<StoreVersion> Write(const StoreKey& key,
                              const wire::KeyRecord& record,
                              StoreVersion expected,
                              Instant deadline);
   void Complete(const StoreKey& key,
-                Held held,
+                wire::KeyRecord record,
+                StoreVersion version,
                 const RequestOutcome& outcome,
                 Instant deadline);
   Result<LeaseId> Lease();
--- a/packages/entry/request_dispatcher.cc
+++ b/packages/entry/request_dispatcher.cc
@@ -128,19 +128,22 @@
   const Instant give_up =
       std::max(request.deadline, m_clock.Now() + kInquiryTimeout);
   return Resolve(attempt.request, address, attempt.route.stamp.incarnation,
-                 give_up);
+                 Duration(0), give_up);
 }
 
 RequestOutcome RequestDispatcher::Resolve(const RequestId& request,
                                           const std::string& address,
                                           Incarnation agent,
+                                          Duration on_its_way,
                                           Instant deadline) {
   Instant last_heard = m_clock.Now();
+  const Instant peek_until = last_heard + on_its_way;
   RequestOutcome outcome = Unknown("the agent cannot be asked");
   while (m_clock.Now() < deadline) {
     wire::InquireRequest inquiry;
     inquiry.set_request_id(request.value());
     inquiry.set_incarnation(agent.value());
+    inquiry.set_peek(m_clock.Now() < peek_until);
     const auto stub = wire::Agent::NewStub(m_agents.Get(address));
     grpc::ClientContext context;
     context.set_deadline(WallDeadline(kInquiryTimeout));
--- a/packages/entry/request_dispatcher.h
+++ b/packages/entry/request_dispatcher.h
@@ -59,10 +59,13 @@
   void Abandon(const Attempt& attempt);
 
   /// Asks an agent what became of a request, until it has ended or
-  /// `deadline` passes. @returns outcome-unknown where it cannot be known.
+  /// `deadline` passes. For `on_its_way` a request that is not there may
+  /// still arrive; after that the agent promises to refuse it.
+  /// @returns outcome-unknown where it cannot be known.
   RequestOutcome Resolve(const RequestId& request,
                          const std::string& address,
                          Incarnation agent,
+                         Duration on_its_way,
                          Instant deadline);
 
   /// @returns whether the retry budget allows one more attempt.
--- a/packages/routing/request_ledger.h
+++ b/packages/routing/request_ledger.h
@@ -61,6 +61,11 @@
   /// Notes how a running request ended.
   void End(const RequestId& request, RequestOutcome outcome, Instant now);
 
+  /// @returns whether `request` arrived or was asked for before.
+  bool Knows(const RequestId& request) const {
+    return m_outcomes.count(request) > 0;
+  }
+
   /// @returns what became of `request`. One that never arrived is noted as
   /// not-run, and is refused should it still arrive.
   const RequestOutcome& Inquire(const RequestId& request, Instant now);
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -9,8 +9,10 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import tempfile
+import threading
 import time
 from pathlib import Path
 
@@ -46,9 +48,13 @@
             self.child.send_signal(signal.SIGCONT)
             self.child.terminate()
         code = self.child.wait()
-        self.log.close()
+        self.close()
         return code
 
+    def close(self):
+        self.child.stdout.close()
+        self.log.close()
+
 
 class Host:
     """One host: its worker, its agent and its backend servers."""
@@ -59,6 +65,48 @@
         self.worker = None
         self.agent = None
         self.backends = []
+        self.relay = None
+
+
+class Relay:
+    """A TCP relay whose open connections can go silent while new ones work."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.target = None
+        self.epoch = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence(self):
+        """From now on nothing passes on the connections that are open."""
+        self.epoch += 1
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+                far = socket.create_connection(("127.0.0.1", self.target))
+            except OSError:
+                return
+            for source, sink in ((near, far), (far, near)):
+                sink.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                threading.Thread(target=self._pump, args=(source, sink, self.epoch),
+                                 daemon=True).start()
+
+    def _pump(self, source, sink, epoch):
+        try:
+            while data := source.recv(65536):
+                if epoch == self.epoch:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        if epoch == self.epoch:
+            for end in (source, sink):
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
 
 
 class Site:
@@ -83,6 +131,7 @@
                 process.signal(signal.SIGCONT)
                 process.child.kill()
                 process.child.wait()
+            process.close()
         if not os.environ.get("ZINNIACART_KEEP_LOGS"):
             self.directory.cleanup()
 
@@ -103,8 +152,10 @@
         return entry
 
     def add_host(self, name, domain, backends=1, service="echo", service_time_ms=0,
-                 worker_options=()):
+                 worker_options=(), relay=False):
         host = Host(name, domain)
+        if relay:
+            host.relay = Relay()
         host.worker = self.spawn(
             f"{name}-worker", [BUILD / "standins/standin-worker", *worker_options])
         self.start_agent(host)
@@ -119,8 +170,11 @@
             [BUILD / "packages/daemon/zinniacartd", "--role=agent", f"--name={host.name}",
              f"--domain={host.domain}", f"--drain-ms={self.drain_ms}",
              f"--worker=127.0.0.1:{host.worker.ports['port']}",
+             *([f"--advertise=127.0.0.1:{host.relay.port}"] if host.relay else []),
              *[f"--entry=127.0.0.1:{e.ports['rpc']}" for e in self.entries]],
         )
+        if host.relay:
+            host.relay.target = host.agent.ports["rpc"]
 
     def add_backend(self, host, name, service, service_time_ms):
         backend = self.spawn(
