--- a/packages/agent/supervisor_driver.cc
+++ b/packages/agent/supervisor_driver.cc
@@ -16,11 +16,13 @@
 
 }  // namespace
 
-SupervisorDriver::SupervisorDriver(const Clock& clock,
+SupervisorDriver::SupervisorDriver(HostId host,
+                                   const Clock& clock,
                                    Worker& worker,
                                    TaskSupervisor supervisor,
                                    RunBlocking run_blocking)
-    : m_clock(clock),
+    : m_host(std::move(host)),
+      m_clock(clock),
       m_worker(worker),
       m_run_blocking(std::move(run_blocking)),
       m_supervisor(std::move(supervisor)) {}
@@ -46,6 +48,10 @@
 wire::AgentBatch SupervisorDriver::Handle(const wire::OwnerBatch& batch) {
   const EntryId from(batch.entry());
   wire::AgentBatch answers;
+  if (batch.host() != m_host.value()) {
+    LogWarning("placement.wrong-host", {{"meant", batch.host()}});
+    return answers;
+  }
   std::vector<TaskSupervisor::Effect> effects;
   {
     const std::lock_guard lock(m_mutex);
--- a/packages/agent/supervisor_driver.h
+++ b/packages/agent/supervisor_driver.h
@@ -24,7 +24,8 @@
   using RunBlocking = std::function<void(std::function<void()>)>;
 
   /// @param worker must outlive the driver.
-  SupervisorDriver(const Clock& clock,
+  SupervisorDriver(HostId host,
+                   const Clock& clock,
                    Worker& worker,
                    TaskSupervisor supervisor,
                    RunBlocking run_blocking);
@@ -71,6 +72,7 @@
  private:
   void CarryOut(std::vector<TaskSupervisor::Effect> effects);
 
+  const HostId m_host;
   const Clock& m_clock;
   Worker& m_worker;
   const RunBlocking m_run_blocking;
--- a/packages/entry/placement_driver.cc
+++ b/packages/entry/placement_driver.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kStoreThreads = 8;
+constexpr std::size_t kAnswerThreads = 2;
 constexpr std::chrono::milliseconds kAgentCallTimeout{1'000};
 
 /// One call to an agent, kept alive until its answer.
@@ -37,7 +38,8 @@
       m_follower(follower),
       m_agents(agents),
       m_self(std::move(self)),
-      m_store_threads(kStoreThreads) {}
+      m_store_threads(kStoreThreads),
+      m_answer_threads(kAnswerThreads) {}
 
 void PlacementDriver::Tick() {
   std::vector<ShardOwner::ShardEffect> effects;
@@ -132,8 +134,11 @@
 
 void PlacementDriver::Stop() {
   m_store_threads.join();
-  std::unique_lock lock(m_call_mutex);
-  m_calls_ended.wait(lock, [this] { return m_open_calls == 0; });
+  {
+    std::unique_lock lock(m_call_mutex);
+    m_calls_ended.wait(lock, [this] { return m_open_calls == 0; });
+  }
+  m_answer_threads.join();
 }
 
 void PlacementDriver::CarryOut(std::vector<ShardOwner::ShardEffect> effects,
@@ -213,6 +218,7 @@
     call->stub = wire::Agent::NewStub(m_agents.Get(address));
     call->batch = std::move(batch);
     call->batch.set_entry(m_self.value());
+    call->batch.set_host(host.value());
     call->context.set_deadline(std::chrono::system_clock::now() +
                                kAgentCallTimeout);
     {
@@ -221,10 +227,15 @@
     }
     call->stub->async()->Place(
         &call->context, &call->batch, &call->answers,
-        [this, call, host = host, address](const grpc::Status& status) {
-          TakeAnswers(
-              host, address, call->answers, status.ok(),
-              status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED);
+        [this, call, host = host, address](const grpc::Status& status) mutable {
+          // The library's thread must not destroy the call or its channel:
+          // it still holds references of its own when this returns.
+          asio::post(m_answer_threads,
+                     [this, call = std::move(call), host, address, status] {
+                       TakeAnswers(host, address, call->answers, status.ok(),
+                                   status.error_code() ==
+                                       grpc::StatusCode::DEADLINE_EXCEEDED);
+                     });
         });
   }
 }
--- a/packages/entry/placement_driver.h
+++ b/packages/entry/placement_driver.h
@@ -71,6 +71,7 @@
   ChannelPool& m_agents;
   const EntryId m_self;
   asio::thread_pool m_store_threads;
+  asio::thread_pool m_answer_threads;
   std::mutex m_answer_mutex;
   std::condition_variable m_answered;
   std::map<std::uint64_t, PendingAnswer> m_answers;
