--- a/packages/agent/backend_pool.cc
+++ b/packages/agent/backend_pool.cc
@@ -10,9 +10,6 @@
 
 /// A backend server that does not announce itself for this long is gone.
 constexpr Duration kAnnouncementExpiry{3'000};
-/// The tail estimate falls by this factor with each faster answer, so that
-/// it follows about the 99th percentile.
-constexpr double kTailDecay = 0.01;
 constexpr Duration kTrafficWindow{2'000};
 
 }  // namespace
@@ -165,12 +162,8 @@
     const std::lock_guard lock(m_mutex);
     const Instant now = m_clock.Now();
     Backend& backend = m_backends.at(id);
-    const auto sample = static_cast<double>(service_time.count());
     backend.last_answer = now;
-    backend.tail_ms =
-        sample > backend.tail_ms
-            ? sample
-            : backend.tail_ms + kTailDecay * (sample - backend.tail_ms);
+    backend.tail.Add(service_time);
     EndRequest(request, std::move(outcome), calls);
     const auto departures = backend.queue.Complete(now, service_time);
     for (const RequestId& expired : departures.expired) {
@@ -273,7 +266,7 @@
     announcements.push_back(BackendAnnouncement{
         id, backend.service, backend.queue.running(), backend.queue.queued(),
         backend.withdrawn || silent || m_draining || backend.queue.draining(),
-        Duration(static_cast<std::int64_t>(backend.tail_ms))});
+        backend.tail.tail()});
   }
   return announcements;
 }
@@ -293,9 +286,9 @@
     const Duration target = declared == nullptr
                                 ? ServiceResource().latency_target
                                 : declared->latency_target;
-    latencies.push_back(ServiceLatency{
-        backend.service, Duration(static_cast<std::int64_t>(backend.tail_ms)),
-        target, now - backend.last_answer < kTrafficWindow});
+    latencies.push_back(
+        ServiceLatency{backend.service, backend.tail.tail(), target,
+                       now - backend.last_answer < kTrafficWindow});
   }
   return latencies;
 }
--- a/packages/agent/backend_pool.h
+++ b/packages/agent/backend_pool.h
@@ -14,6 +14,7 @@
 #include "membership/host_announcement.h"
 #include "routing/admission_queue.h"
 #include "routing/request_ledger.h"
+#include "routing/tail_estimator.h"
 
 namespace zinniacart {
 
@@ -102,7 +103,7 @@
     AdmissionQueue queue{ServiceResource().slots, kQueueLength};
     Instant heard_at;
     bool withdrawn = false;
-    double tail_ms = 0.0;
+    TailEstimator tail;
     Instant last_answer;
   };
   static constexpr int kQueueLength = 64;
--- a/packages/placement/shard.cc
+++ b/packages/placement/shard.cc
@@ -256,8 +256,7 @@
   if (read_lost || must_resolve) {
     ReadAgain(now);
   }
-  if (m_ownership != Ownership::kOwned &&
-      m_ownership != Ownership::kReleasing) {
+  if (!IsActive()) {
     return;
   }
   for (const JobRecord& job : m_record.jobs) {
@@ -270,6 +269,17 @@
   Flush(now);
 }
 
+void Shard::FlushIfDue(Instant now) {
+  if (IsActive()) {
+    Flush(now);
+  }
+}
+
+bool Shard::IsActive() const {
+  return m_ownership == Ownership::kOwned ||
+         m_ownership == Ownership::kReleasing;
+}
+
 void Shard::Stage(ShardChange change, Instant now) {
   if (m_staged.empty()) {
     m_staged_since = now;
@@ -501,8 +511,7 @@
                            const AgentMessage& message,
                            bool may_renew,
                            Instant now) {
-  if (m_ownership != Ownership::kOwned &&
-      m_ownership != Ownership::kReleasing) {
+  if (!IsActive()) {
     return;
   }
   std::visit(Visitor{[&](const OfferedMessage& offered) {
--- a/packages/placement/shard.h
+++ b/packages/placement/shard.h
@@ -134,8 +134,10 @@
   void OnConfigurationConfirmed(const Configuration* configuration,
                                 Instant now);
   /// Writes what has gathered, sends again what was not answered, notices
-  /// ended leases.
+  /// ended leases. Looks at every task.
   void Tick(Instant now);
+  /// Only writes what has gathered; for the time between two ticks.
+  void FlushIfDue(Instant now);
 
   // ---- Agents ----
 
@@ -193,6 +195,7 @@
     std::map<TaskId, ConfigSerial> allowed;
   };
 
+  bool IsActive() const;
   void Claim(ShardRecord record, StoreVersion version, Instant now);
   void ResolveCommit(const Result<StoreValue>& value, Instant now);
   void Flush(Instant now);
--- a/packages/placement/shard_owner.cc
+++ b/packages/placement/shard_owner.cc
@@ -11,6 +11,8 @@
 constexpr Duration kClaimRetry{1'000};
 constexpr Duration kReleaseInterval{1'000};
 constexpr Duration kReconcileInterval{500};
+/// Every task is looked at this often; urgent work starts within 2 s.
+constexpr Duration kLookInterval{100};
 /// Bounds the work of one tick.
 constexpr int kMostOffersPerTick = 64;
 /// How many tasks are moved off forbidden hosts in one tick.
@@ -257,6 +259,13 @@
   if (IsConfirmed(now)) {
     ClaimAndRelease(now);
   }
+  if (now < m_look_at) {
+    for (auto& [id, shard] : m_shards) {
+      shard.FlushIfDue(now);
+    }
+    return;
+  }
+  m_look_at = now + kLookInterval;
   for (auto& [id, shard] : m_shards) {
     shard.Tick(now);
   }
--- a/packages/placement/shard_owner.h
+++ b/packages/placement/shard_owner.h
@@ -148,6 +148,7 @@
   std::map<ShardId, Instant> m_claim_not_before;
   Instant m_release_not_before;
   Instant m_reconcile_at;
+  Instant m_look_at;
   std::map<HostId, HostHealth> m_health;
 };
 
