Try the newest batch task first and throttle it to a quarter

Cause: most of the time over target is spent finding the one noisy task: the experiments went through the tasks in the order of their ids, in halving steps of 1.5 s, and a task to blame got its speed back as fast as any other. Change: newest first among equals, a quarter instead of a half, 1 s each; a task to blame recovers by 1% a step and keeps its blame for minutes.

--- a/packages/agent/interference_control.cc
+++ b/packages/agent/interference_control.cc
@@ -9,9 +9,14 @@
 constexpr double kLowPressure = 0.7;
 /// An experiment helped where pressure fell to this share of what it was.
 constexpr double kHelped = 0.85;
-constexpr double kBlameDecay = 0.98;
+constexpr double kBlameDecay = 0.998;
 constexpr int kRecoveryStep = 10;
-constexpr Duration kExperimentTime{1'500};
+/// A task that is to blame gets its speed back this much more slowly.
+constexpr int kBlamedRecoveryStep = 1;
+constexpr double kBlamed = 0.05;
+constexpr Duration kExperimentTime{1'000};
+/// An experiment divides a task's speed by this.
+constexpr int kThrottleFactor = 4;
 constexpr Duration kEvictionInterval{60'000};
 /// Fruitless rounds over all tasks before one is evicted.
 constexpr int kFruitlessBeforeEviction = 3;
@@ -28,7 +33,9 @@
            running.end();
   });
   for (const TaskId& task : running) {
-    m_suspects[task].blame *= kBlameDecay;
+    Suspect fresh;
+    fresh.seen_at = now;
+    m_suspects.try_emplace(task, fresh).first->second.blame *= kBlameDecay;
   }
   if (m_experiment && now >= m_experiment->ends) {
     Conclude(observation, actions);
@@ -57,7 +64,7 @@
     }
     return actions;
   }
-  suspect.percent = std::max(kFloor, suspect.percent / 2);
+  suspect.percent = std::max(kFloor, suspect.percent / kThrottleFactor);
   m_experiment = Experiment{*task, observation.pressure, now + kExperimentTime};
   actions.push_back(Throttle{*task, suspect.percent});
   return actions;
@@ -77,9 +84,14 @@
     }
     const Suspect& current = m_suspects.at(*best);
     const bool more_blame = candidate.blame > current.blame;
-    const bool less_tried = candidate.blame == current.blame &&
-                            candidate.fruitless < current.fruitless;
-    if (more_blame || less_tried) {
+    const bool as_much_blame = candidate.blame == current.blame;
+    const bool less_tried =
+        as_much_blame && candidate.fruitless < current.fruitless;
+    // What came last has most likely brought the pressure.
+    const bool newer = as_much_blame &&
+                       candidate.fruitless == current.fruitless &&
+                       candidate.seen_at > current.seen_at;
+    if (more_blame || less_tried || newer) {
       best = task;
     }
   }
@@ -113,7 +125,9 @@
   for (auto& [task, suspect] : m_suspects) {
     suspect.fruitless = 0;
     if (suspect.percent < kFullSpeed) {
-      suspect.percent = std::min(kFullSpeed, suspect.percent + kRecoveryStep);
+      const int step =
+          suspect.blame > kBlamed ? kBlamedRecoveryStep : kRecoveryStep;
+      suspect.percent = std::min(kFullSpeed, suspect.percent + step);
       actions.push_back(Throttle{task, suspect.percent});
     }
   }
--- a/packages/agent/interference_control.h
+++ b/packages/agent/interference_control.h
@@ -57,6 +57,7 @@
     /// How much throttling it has helped, decaying.
     double blame = 0.0;
     int fruitless = 0;
+    Instant seen_at;
   };
 
   std::optional<TaskId> NextSuspect(const Observation& observation) const;
