--- a/packages/placement/shard.cc
+++ b/packages/placement/shard.cc
@@ -95,12 +95,24 @@
   m_commit.reset();
   m_staged.clear();
   m_knowledge.clear();
-  m_record = ShardRecord{};
+  SetRecord(ShardRecord{});
   m_reading = false;
   m_found.reset();
   m_ownership = Ownership::kForeign;
 }
 
+void Shard::SetRecord(ShardRecord record) {
+  m_record = std::move(record);
+  m_by_host.clear();
+  for (const JobRecord& job : m_record.jobs) {
+    for (const TaskRecord& task : job.tasks) {
+      if (task.status == TaskStatus::kAssigned) {
+        m_by_host[task.host].push_back(&task);
+      }
+    }
+  }
+}
+
 void Shard::Claim(ShardRecord record, StoreVersion version, Instant now) {
   m_ownership = Ownership::kClaiming;
   m_version = version;
@@ -377,7 +389,7 @@
   }
   const Commit commit = std::move(*m_commit);
   m_commit.reset();
-  m_record = commit.record;
+  SetRecord(commit.record);
   if (m_ownership == Ownership::kClaiming) {
     BeginRecovery(now);
     return;
@@ -643,20 +655,19 @@
   if (handing_over) {
     return;
   }
+  const auto here = m_by_host.find(host);
+  if (here == m_by_host.end()) {
+    return;
+  }
   bool any_placed = false;
-  for (const JobRecord& job : m_record.jobs) {
-    for (const TaskRecord& record : job.tasks) {
-      if (record.host != host || record.status != TaskStatus::kAssigned) {
-        continue;
-      }
-      Knowledge& known = m_knowledge[record.task];
-      if (!IsPlaced(known.phase)) {
-        continue;
-      }
-      any_placed = true;
-      known.ended_after = std::max(
-          known.ended_after, now + m_times.run_lease + m_times.drift_margin);
+  for (const TaskRecord* record : here->second) {
+    Knowledge& known = m_knowledge[record->task];
+    if (!IsPlaced(known.phase)) {
+      continue;
     }
+    any_placed = true;
+    known.ended_after = std::max(
+        known.ended_after, now + m_times.run_lease + m_times.drift_margin);
   }
   if (any_placed) {
     SendTo(host, RenewMessage{m_id, m_record.epoch, message.stamp});
--- a/packages/placement/shard.h
+++ b/packages/placement/shard.h
@@ -196,6 +196,7 @@
   };
 
   bool IsActive() const;
+  void SetRecord(ShardRecord record);
   void Claim(ShardRecord record, StoreVersion version, Instant now);
   void ResolveCommit(const Result<StoreValue>& value, Instant now);
   void Flush(Instant now);
@@ -250,6 +251,8 @@
 
   Ownership m_ownership = Ownership::kForeign;
   ShardRecord m_record;
+  /// The assigned tasks in `m_record`, by host.
+  std::map<HostId, std::vector<const TaskRecord*>> m_by_host;
   StoreVersion m_version;
   std::map<TaskId, Knowledge> m_knowledge;
   std::map<HostId, DomainId> m_domains;
