--- a/packages/agent/agent_daemon.cc
+++ b/packages/agent/agent_daemon.cc
@@ -40,14 +40,6 @@
 /// A change of a backend server's load is announced this soon.
 constexpr Duration kLoadAnnounceInterval{200};
 
-/// Incarnations grow with each start on one host.
-Incarnation DrawIncarnation() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const auto micros =
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-  return Incarnation(static_cast<std::uint64_t>(micros));
-}
-
 void AnswerError(const Error& error, httplib::Response& response) {
   response.status = error.code == ErrorCode::kConflict ? 409 : 400;
   const nlohmann::json problem{{"title", ToString(error.code)},
@@ -63,7 +55,7 @@
  public:
   explicit Runtime(AgentSettings settings)
       : m_settings(std::move(settings)),
-        m_incarnation(DrawIncarnation()),
+        m_incarnation(DrawRunNumber()),
         m_worker(m_settings.worker, kWorkerTimeout),
         m_pool(m_clock,
                m_incarnation,
--- a/packages/agent/backend_pool.cc
+++ b/packages/agent/backend_pool.cc
@@ -79,41 +79,46 @@
   Calls calls;
   {
     const std::lock_guard lock(m_mutex);
-    const RequestId id = forwarded.request.request;
-    const Instant now = m_clock.Now();
-    if (const auto stale = CheckRoute(forwarded)) {
-      calls.push_back([done, stale] { done(RequestNotRun{*stale}); });
-    } else if (const RequestOutcome* known = m_ledger.Arrive(id)) {
-      if (std::holds_alternative<RequestRunning>(*known)) {
-        m_requests.at(id).done.push_back(std::move(done));
-      } else {
-        calls.push_back([done, outcome = *known] { done(outcome); });
-      }
-    } else {
-      const Instant deadline = now + forwarded.timeout;
-      m_requests[id] =
-          Waiting{std::move(forwarded.request), deadline, {std::move(done)}};
-      const auto found = m_backends.find(forwarded.backend);
-      if (found == m_backends.end() || m_draining) {
-        const ErrorCode code =
-            m_draining ? ErrorCode::kDraining : ErrorCode::kNoBackend;
-        EndRequest(id, RequestNotRun{Error{code, "not served here", {}}},
-                   calls);
-      } else {
-        const auto verdict = found->second.queue.Arrive(id, now, deadline);
-        if (!verdict) {
-          EndRequest(id, RequestNotRun{verdict.error()}, calls);
-        } else if (*verdict == AdmissionQueue::Verdict::kRun) {
-          Start(found->first, found->second, id);
-        }
-      }
-    }
+    Admit(std::move(forwarded), std::move(done), calls);
   }
   for (const auto& call : calls) {
     call();
   }
 }
 
+void BackendPool::Admit(ForwardedRequest forwarded, Done done, Calls& calls) {
+  if (const auto stale = CheckRoute(forwarded)) {
+    calls.emplace_back([done, stale] { done(RequestNotRun{*stale}); });
+    return;
+  }
+  const RequestId id = forwarded.request.request;
+  if (const RequestOutcome* known = m_ledger.Arrive(id)) {
+    if (std::holds_alternative<RequestRunning>(*known)) {
+      m_requests.at(id).done.push_back(std::move(done));
+    } else {
+      calls.emplace_back([done, outcome = *known] { done(outcome); });
+    }
+    return;
+  }
+  const Instant now = m_clock.Now();
+  const Instant deadline = now + forwarded.timeout;
+  m_requests[id] =
+      Waiting{std::move(forwarded.request), deadline, {std::move(done)}};
+  const auto found = m_backends.find(forwarded.backend);
+  if (found == m_backends.end() || m_draining) {
+    const ErrorCode code =
+        m_draining ? ErrorCode::kDraining : ErrorCode::kNoBackend;
+    EndRequest(id, RequestNotRun{Error{code, "not served here", {}}}, calls);
+    return;
+  }
+  const auto verdict = found->second.queue.Arrive(id, now, deadline);
+  if (!verdict) {
+    EndRequest(id, RequestNotRun{verdict.error()}, calls);
+  } else if (*verdict == AdmissionQueue::Verdict::kRun) {
+    Start(found->first, found->second, id);
+  }
+}
+
 std::optional<Error> BackendPool::CheckRoute(
     const ForwardedRequest& forwarded) const {
   const Stamp& stamp = forwarded.route_stamp;
--- a/packages/agent/backend_pool.h
+++ b/packages/agent/backend_pool.h
@@ -109,6 +109,7 @@
   static constexpr int kQueueLength = 64;
 
   using Calls = std::vector<std::function<void()>>;
+  void Admit(ForwardedRequest forwarded, Done done, Calls& calls);
   void Start(const BackendId& id, Backend& backend, const RequestId& request);
   void Finish(const BackendId& id,
               const RequestId& request,
--- a/packages/base/clock.cc
+++ b/packages/base/clock.cc
@@ -7,6 +7,13 @@
   return Instant{std::chrono::duration_cast<Duration>(since_boot).count()};
 }
 
+std::uint64_t DrawRunNumber() {
+  const auto since_1970 = std::chrono::system_clock::now().time_since_epoch();
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(since_1970);
+  return static_cast<std::uint64_t>(micros.count());
+}
+
 std::int64_t WallClockMilliseconds() {
   const auto since_1970 = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<Duration>(since_1970).count();
--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -50,6 +50,10 @@
   std::atomic<std::int64_t> m_now{0};
 };
 
+/// @returns a number that grows with each start on one host: the wall clock
+/// in microseconds since 1970. It names one run of a process.
+std::uint64_t DrawRunNumber();
+
 /// @returns the wall clock as milliseconds since 1970; for audit records only.
 std::int64_t WallClockMilliseconds();
 
--- a/packages/configuration/resource.cc
+++ b/packages/configuration/resource.cc
@@ -47,7 +47,8 @@
 
 Result<void> CheckFields(const json& body,
                          std::initializer_list<const char*> allowed) {
-  for (const auto& [field, value] : body.items()) {
+  for (const auto& item : body.items()) {
+    const std::string& field = item.key();
     const bool known =
         std::any_of(allowed.begin(), allowed.end(),
                     [&](const char* name) { return field == name; });
--- a/packages/daemon/main.cc
+++ b/packages/daemon/main.cc
@@ -65,6 +65,22 @@
   return ParseName(nlohmann::json{{field, name}}, field);
 }
 
+/// One address setting: its text, its name and where it goes.
+struct AddressSetting {
+  const std::string* text;
+  const char* field;
+  Endpoint* endpoint;
+
+  Result<void> Parse() const {
+    const auto parsed = Endpoint::Parse(*text, field);
+    if (!parsed) {
+      return tl::unexpected(parsed.error());
+    }
+    *endpoint = *parsed;
+    return {};
+  }
+};
+
 Result<EntrySettings> ToEntrySettings(const RawSettings& raw) {
   EntrySettings settings;
   const auto name = CheckName(raw.name, "name");
@@ -76,21 +92,15 @@
   }
   settings.entry = EntryId(*name);
   settings.domain = DomainId(*domain);
-  struct Address {
-    const std::string* text;
-    const char* field;
-    Endpoint* endpoint;
-  };
-  for (const Address& address :
-       {Address{&raw.callers, "callers", &settings.callers},
-        Address{&raw.operators, "operators", &settings.operators},
-        Address{&raw.rpc, "rpc", &settings.rpc},
-        Address{&raw.store, "store", &settings.store}}) {
-    const auto endpoint = Endpoint::Parse(*address.text, address.field);
-    if (!endpoint) {
-      return tl::unexpected(endpoint.error());
+  for (const AddressSetting& address :
+       {AddressSetting{&raw.callers, "callers", &settings.callers},
+        AddressSetting{&raw.operators, "operators", &settings.operators},
+        AddressSetting{&raw.rpc, "rpc", &settings.rpc},
+        AddressSetting{&raw.store, "store", &settings.store}}) {
+    const auto parsed = address.Parse();
+    if (!parsed) {
+      return tl::unexpected(parsed.error());
     }
-    *address.endpoint = *endpoint;
   }
   settings.shards = raw.shards;
   settings.caller_threads = raw.caller_threads;
@@ -111,20 +121,14 @@
   }
   settings.host = HostId(*name);
   settings.domain = DomainId(*domain);
-  struct Address {
-    const std::string* text;
-    const char* field;
-    Endpoint* endpoint;
-  };
-  for (const Address& address :
-       {Address{&raw.rpc, "rpc", &settings.rpc},
-        Address{&raw.local, "local", &settings.local},
-        Address{&raw.worker, "worker", &settings.worker}}) {
-    const auto endpoint = Endpoint::Parse(*address.text, address.field);
-    if (!endpoint) {
-      return tl::unexpected(endpoint.error());
+  for (const AddressSetting& address :
+       {AddressSetting{&raw.rpc, "rpc", &settings.rpc},
+        AddressSetting{&raw.local, "local", &settings.local},
+        AddressSetting{&raw.worker, "worker", &settings.worker}}) {
+    const auto parsed = address.Parse();
+    if (!parsed) {
+      return tl::unexpected(parsed.error());
     }
-    *address.endpoint = *endpoint;
   }
   if (!raw.advertised.empty()) {
     const auto endpoint = Endpoint::Parse(raw.advertised, "advertise");
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -34,12 +34,6 @@
 constexpr Duration kLeavePatience{3'000};
 constexpr std::chrono::milliseconds kLeavePause{20};
 
-Incarnation DrawInstance() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return Incarnation(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count()));
-}
-
 void AddGauge(prometheus::Registry& registry,
               const char* name,
               const char* help,
@@ -54,7 +48,7 @@
  public:
   explicit Runtime(EntrySettings settings)
       : m_settings(std::move(settings)),
-        m_instance(DrawInstance()),
+        m_instance(DrawRunNumber()),
         m_state(m_settings.domain, m_instance),
         m_store(m_settings.store, kStoreTimeout),
         m_follower(m_state, m_store, m_clock),
--- a/packages/entry/session_keeper.cc
+++ b/packages/entry/session_keeper.cc
@@ -13,13 +13,6 @@
 /// The directory is listed with every second renewal.
 constexpr int kRenewalsPerListing = 2;
 
-Incarnation DrawIncarnation() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const auto micros =
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-  return Incarnation(static_cast<std::uint64_t>(micros));
-}
-
 }  // namespace
 
 SessionKeeper::SessionKeeper(EntryState& state,
@@ -67,7 +60,7 @@
 }
 
 bool SessionKeeper::Open() {
-  const Incarnation incarnation = DrawIncarnation();
+  const Incarnation incarnation(DrawRunNumber());
   const Instant started = m_clock.Now();
   const auto lease = m_store.OpenLease(m_times.session_ttl);
   if (!lease) {
--- a/packages/placement/shard.h
+++ b/packages/placement/shard.h
@@ -11,6 +11,7 @@
 #include "base/ids.h"
 #include "configuration/configuration.h"
 #include "placement/messages.h"
+#include "placement/pending_reason.h"
 #include "placement/placement_times.h"
 #include "placement/shard_change.h"
 #include "placement/shard_record.h"
@@ -18,24 +19,6 @@
 
 namespace zinniacart {
 
-/// Why a task is not running yet.
-enum class PendingReason {
-  kNone,
-  kNotTriedYet,
-  kStarting,
-  kNoHostKnown,
-  kNoHostLargeEnough,  ///< It can never run on the hosts there are.
-  kNoAllowedHost,      ///< Operators have taken every fitting host out.
-  kNoRoomNow,
-  kQuotaReached,
-  kQuotaTooSmall,  ///< It can never run under its team's quota.
-  kBackoff,        ///< It failed lately.
-  kHostUncertain,  ///< Its host is silent; its lease has to end first.
-  kStopping,
-};
-/// @returns a sentence for operators.
-const char* ToString(PendingReason reason);
-
 /// The owner's half of the placement protocol for one shard: the records,
 /// their writes, and what is known of each placement. A state machine
 /// without I/O, driven by `ShardOwner`.
@@ -98,6 +81,9 @@
     Instant pending_since;
     PendingReason reason = PendingReason::kNotTriedYet;
     std::map<HostId, Instant> avoid;
+
+    /// @returns whether the task may be running on its host.
+    bool IsPlaced() const;
   };
 
   Shard(ShardId id,
--- a/packages/placement/shard_owner.cc
+++ b/packages/placement/shard_owner.cc
@@ -389,9 +389,23 @@
   }
   std::vector<HostView> views = MakeViews(hosts, now);
   std::map<TeamId, Resources> use = BatchUse(tasks);
+  SortByRank(views, use, waiting);
+  int offers = 0;
+  for (const Shard::View& view : waiting) {
+    if (offers >= kMostOffersPerTick) {
+      return;
+    }
+    const bool offered = TryOffer(view, views, use[view.job->team], now);
+    offers += offered ? 1 : 0;
+  }
+}
+
+void ShardOwner::SortByRank(const std::vector<HostView>& hosts,
+                            const std::map<TeamId, Resources>& use,
+                            std::vector<Shard::View>& waiting) {
   Resources total;
-  for (const HostView& view : views) {
-    total += view.capacity;
+  for (const HostView& host : hosts) {
+    total += host.capacity;
   }
   std::map<TeamId, double> share;
   for (const auto& [team, used] : use) {
@@ -404,40 +418,40 @@
   std::stable_sort(
       waiting.begin(), waiting.end(),
       [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
-  int offers = 0;
-  for (const Shard::View& view : waiting) {
-    if (offers >= kMostOffersPerTick) {
-      return;
-    }
-    const TaskId task = view.record->task;
-    Shard& shard = m_shards.at(ShardOf(view.job->team, m_shard_count));
-    Resources& used = use[view.job->team];
-    if (const auto reason = CheckQuota(*view.job, used)) {
-      shard.NotePending(task, *reason);
-      continue;
-    }
-    PlacementRequest request{
-        task, view.job->job, view.job->demand, view.job->task_class, {}};
-    for (const auto& [host, until] : view.knowledge->avoid) {
-      if (until > now) {
-        request.avoid.insert(host);
-      }
-    }
-    const auto choice = ChooseHost(m_policy, request, views);
-    if (const auto* reason = std::get_if<PendingReason>(&choice)) {
-      shard.NotePending(task, *reason);
-      continue;
+}
+
+bool ShardOwner::TryOffer(const Shard::View& view,
+                          std::vector<HostView>& hosts,
+                          Resources& used,
+                          Instant now) {
+  const TaskId task = view.record->task;
+  Shard& shard = m_shards.at(ShardOf(view.job->team, m_shard_count));
+  if (const auto reason = CheckQuota(*view.job, used)) {
+    shard.NotePending(task, *reason);
+    return false;
+  }
+  PlacementRequest request{
+      task, view.job->job, view.job->demand, view.job->task_class, {}};
+  for (const auto& [host, until] : view.knowledge->avoid) {
+    if (until > now) {
+      request.avoid.insert(host);
     }
-    const auto chosen =
-        std::find_if(views.begin(), views.end(), [&](const HostView& host) {
-          return host.host == std::get<HostId>(choice);
-        });
-    chosen->free -= view.job->demand;
-    used += view.job->task_class == TaskClass::kBatch ? view.job->demand
-                                                      : Resources{};
-    ++offers;
-    shard.Offer(task, chosen->host, chosen->domain, now);
   }
+  const auto choice = ChooseHost(m_policy, request, hosts);
+  if (const auto* reason = std::get_if<PendingReason>(&choice)) {
+    shard.NotePending(task, *reason);
+    return false;
+  }
+  const auto chosen =
+      std::find_if(hosts.begin(), hosts.end(), [&](const HostView& host) {
+        return host.host == std::get<HostId>(choice);
+      });
+  chosen->free -= view.job->demand;
+  if (view.job->task_class == TaskClass::kBatch) {
+    used += view.job->demand;
+  }
+  shard.Offer(task, chosen->host, chosen->domain, now);
+  return true;
 }
 
 std::vector<HostView> ShardOwner::MakeViews(const HostTable& hosts,
--- a/packages/placement/shard_owner.h
+++ b/packages/placement/shard_owner.h
@@ -128,6 +128,15 @@
   void ReconcileServices(Instant now);
   void MoveForbidden(const HostTable& hosts, Instant now);
   void Place(const HostTable& hosts, Instant now);
+  /// Orders by class, priority, the team's dominant share and age.
+  static void SortByRank(const std::vector<HostView>& hosts,
+                         const std::map<TeamId, Resources>& use,
+                         std::vector<Shard::View>& waiting);
+  /// Offers one task to the best host. @returns whether there was one.
+  bool TryOffer(const Shard::View& view,
+                std::vector<HostView>& hosts,
+                Resources& used,
+                Instant now);
   std::vector<HostView> MakeViews(const HostTable& hosts, Instant now) const;
   std::map<TeamId, Resources> BatchUse(
       const std::vector<Shard::View>& tasks) const;
