--- a/packages/agent/agent_settings.h
+++ b/packages/agent/agent_settings.h
@@ -14,7 +14,7 @@
 struct AgentSettings {
   HostId host;
   DomainId domain;
-  Endpoint rpc;     ///< Where it listens for entries.
+  Endpoint rpc;                        ///< Where it listens for entries.
   std::optional<Endpoint> advertised;  ///< Where entries reach it, if not so.
   Endpoint local;   ///< Where backend servers, metrics and health reach it.
   Endpoint worker;  ///< The worker on this host.
--- a/packages/entry/idempotency_keys.cc
+++ b/packages/entry/idempotency_keys.cc
@@ -86,9 +86,8 @@
   StoreVersion version;
   while (m_clock.Now() < request.deadline) {
     auto attempt = m_dispatcher.Prepare(request, excluded);
-    const auto claimed = attempt
-                             ? Claim(request, record_key, version, *attempt)
-                             : GiveUp(record_key, version);
+    const auto claimed = attempt ? Claim(request, record_key, version, *attempt)
+                                 : GiveUp(record_key, version);
     if (!claimed && claimed.error().code == ErrorCode::kPreconditionFailed) {
       if (attempt) {
         m_dispatcher.Abandon(*attempt);
