--- a/packages/agent/entry_sync.cc
+++ b/packages/agent/entry_sync.cc
@@ -42,7 +42,7 @@
     for (const Target& target : AnnouncementOrder()) {
       wire::SyncRequest request = request_for(target.entry);
       *request.mutable_announcement() = announcement;
-      if (Call(target, std::move(request), round)) {
+      if (Call(target, request, round)) {
         break;
       }
     }
@@ -86,7 +86,7 @@
 }
 
 bool EntrySync::Call(const Target& target,
-                     wire::SyncRequest request,
+                     const wire::SyncRequest& request,
                      Round& round) {
   const auto stub = wire::Entry::NewStub(m_channels.Get(target.address));
   grpc::ClientContext context;
--- a/packages/agent/entry_sync.h
+++ b/packages/agent/entry_sync.h
@@ -48,7 +48,9 @@
     std::string address;
   };
   std::vector<Target> AnnouncementOrder() const;
-  bool Call(const Target& target, wire::SyncRequest request, Round& round);
+  bool Call(const Target& target,
+            const wire::SyncRequest& request,
+            Round& round);
   void TakeEntries(const wire::SyncReply& reply);
   bool TakeConfiguration(const wire::SyncReply& reply);
 
--- a/packages/cli/load_generator.cc
+++ b/packages/cli/load_generator.cc
@@ -80,6 +80,7 @@
               Tally& total) {
   std::mutex mutex;
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<std::size_t>(settings.callers));
   const auto started = WallClock::now();
   for (int number = 0; number < settings.callers; ++number) {
     callers.emplace_back([&] {
--- a/packages/cli/operator_client.cc
+++ b/packages/cli/operator_client.cc
@@ -60,7 +60,7 @@
   if (expected) {
     headers.emplace_back("If-Match", std::to_string(*expected));
   }
-  return Call("POST", "/v1/resources", body.dump(), std::move(headers));
+  return Call("POST", "/v1/resources", body.dump(), headers);
 }
 
 Result<json> OperatorClient::Get(const std::string& what) {
@@ -94,7 +94,7 @@
 Result<json> OperatorClient::Call(const std::string& method,
                                   const std::string& path,
                                   const std::string& body,
-                                  HttpHeaders headers) {
+                                  const HttpHeaders& headers) {
   Result<json> result = Fail(ErrorCode::kUnreachable, "not tried");
   for (int tries = 0; tries < kMostTries; ++tries) {
     const auto answer = m_client.Call(method, path, body, headers);
--- a/packages/cli/operator_client.h
+++ b/packages/cli/operator_client.h
@@ -31,7 +31,7 @@
   Result<nlohmann::json> Call(const std::string& method,
                               const std::string& path,
                               const std::string& body,
-                              HttpHeaders headers);
+                              const HttpHeaders& headers);
   HttpHeaders ChangeHeaders() const;
 
   HttpClient m_client;
--- a/packages/configuration/resource.cc
+++ b/packages/configuration/resource.cc
@@ -222,10 +222,10 @@
   if (!body.is_object()) {
     return Invalid(field, "expected an object");
   }
-  for (const auto& [part, value] : body.items()) {
-    if (part != "millicores" && part != "memory_mb" && part != "accelerators") {
-      return Invalid(field + "." + part, "unknown field");
-    }
+  const auto fields =
+      CheckFields(body, {"millicores", "memory_mb", "accelerators"});
+  if (!fields) {
+    return Invalid(field + "." + fields.error().field, "unknown field");
   }
   Resources resources;
   for (auto [part, amount] :
--- a/packages/entry/idempotency_keys.cc
+++ b/packages/entry/idempotency_keys.cc
@@ -253,7 +253,7 @@
   if (!due) {
     return m_lease;
   }
-  const auto lease = m_store.OpenLease(kRetention);
+  auto lease = m_store.OpenLease(kRetention);
   if (!lease) {
     if (lease.error().code == ErrorCode::kOutcomeUnknown) {
       return Fail(ErrorCode::kStoreUnavailable, "no lease for the key");
