--- a/packages/entry/placement_driver.cc
+++ b/packages/entry/placement_driver.cc
@@ -55,7 +55,7 @@
     effects = m_state.owner->TakeEffects();
     session = m_state.owner->incarnation();
   }
-  CarryOut(std::move(effects), session);
+  CarryOut(effects, session);
 }
 
 std::vector<wire::OwnerMessage> PlacementDriver::Handle(
@@ -86,7 +86,7 @@
       others.push_back(std::move(effect));
     }
   }
-  CarryOut(std::move(others), session);
+  CarryOut(others, session);
   return answers;
 }
 
@@ -141,10 +141,11 @@
   m_answer_threads.join();
 }
 
-void PlacementDriver::CarryOut(std::vector<ShardOwner::ShardEffect> effects,
-                               Incarnation session) {
+void PlacementDriver::CarryOut(
+    const std::vector<ShardOwner::ShardEffect>& effects,
+    Incarnation session) {
   std::map<HostId, wire::OwnerBatch> batches;
-  for (auto& [shard, effect] : effects) {
+  for (const auto& [shard, effect] : effects) {
     std::visit(
         Visitor{[&, id = shard](const Shard::ReadRecord&) {
                   asio::post(m_store_threads, [this, id, session] {
@@ -184,7 +185,7 @@
                 }},
         effect);
   }
-  SendBatches(std::move(batches));
+  SendBatches(batches);
 }
 
 void PlacementDriver::WithOwner(
@@ -200,11 +201,12 @@
     action(*m_state.owner, m_clock.Now());
     effects = m_state.owner->TakeEffects();
   }
-  CarryOut(std::move(effects), session);
+  CarryOut(effects, session);
 }
 
-void PlacementDriver::SendBatches(std::map<HostId, wire::OwnerBatch> batches) {
-  for (auto& [host, batch] : batches) {
+void PlacementDriver::SendBatches(
+    const std::map<HostId, wire::OwnerBatch>& batches) {
+  for (const auto& [host, batch] : batches) {
     std::string address;
     {
       const std::lock_guard lock(m_state.mutex);
@@ -216,7 +218,7 @@
     }
     auto call = std::make_shared<AgentCall>();
     call->stub = wire::Agent::NewStub(m_agents.Get(address));
-    call->batch = std::move(batch);
+    call->batch = batch;
     call->batch.set_entry(m_self.value());
     call->batch.set_host(host.value());
     call->context.set_deadline(std::chrono::system_clock::now() +
@@ -254,7 +256,7 @@
     if (!messages.empty()) {
       std::map<HostId, wire::OwnerBatch> batches;
       batches[host] = std::move(batch);
-      SendBatches(std::move(batches));
+      SendBatches(batches);
     }
   }
   if (timed_out) {
--- a/packages/entry/placement_driver.h
+++ b/packages/entry/placement_driver.h
@@ -50,11 +50,11 @@
     Result<void> result;
   };
 
-  void CarryOut(std::vector<ShardOwner::ShardEffect> effects,
+  void CarryOut(const std::vector<ShardOwner::ShardEffect>& effects,
                 Incarnation session);
   void WithOwner(Incarnation session,
                  const std::function<void(ShardOwner&, Instant)>& action);
-  void SendBatches(std::map<HostId, wire::OwnerBatch> batches);
+  void SendBatches(const std::map<HostId, wire::OwnerBatch>& batches);
   void TakeAnswers(const HostId& host,
                    const std::string& address,
                    const wire::AgentBatch& answers,
