Raise the listen backlog: bursts of new connections waited a second

Cause: the HTTP library listens with a backlog of 5; with 16 callers connecting at once handshakes were dropped and repeated after a second. Ruled out: the admission queue and the agent's threads (p50 was steady). Change: listen again on the bound socket with a backlog of 1024; one place serves entries, agents and stand-ins.

--- a/packages/platform/http_server.cc
+++ b/packages/platform/http_server.cc
@@ -7,6 +7,11 @@
 #include "platform/elastic_task_queue.h"
 
 namespace zinniacart {
+namespace {
+
+constexpr int kListenBacklog = 1024;
+
+}  // namespace
 
 HttpServer::HttpServer(HttpServerLimits limits)
     : m_server(std::make_unique<httplib::Server>()) {
@@ -14,6 +19,11 @@
     return new ElasticTaskQueue(limits.most_threads);
   };
   m_server->set_tcp_nodelay(true);
+  m_server->set_socket_options([this](socket_t socket) {
+    const int yes = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    m_socket = socket;
+  });
   m_server->set_keep_alive_max_count(std::numeric_limits<int>::max());
   m_server->set_keep_alive_timeout(limits.idle_seconds);
   m_server->set_payload_max_length(limits.most_body_bytes);
@@ -32,6 +42,9 @@
   if (m_port <= 0) {
     return false;
   }
+  // The library listens with a backlog of 5: a burst of new connections then
+  // waits a second for its handshake to be repeated.
+  ::listen(m_socket, kListenBacklog);
   m_thread = std::thread([this] { m_server->listen_after_bind(); });
   while (!m_server->is_running()) {
     std::this_thread::yield();
--- a/packages/platform/http_server.h
+++ b/packages/platform/http_server.h
@@ -45,6 +45,7 @@
  private:
   std::unique_ptr<httplib::Server> m_server;
   std::thread m_thread;
+  int m_socket = -1;
   int m_port = 0;
 };
 
