Drop a callback that did nothing from the randomised runs

Cause: Simulation::SubmitJob took a retry function that every caller gave empty; it retries by itself. Behaviour is as it was.

--- a/packages/placement/simulation/simulation.cc
+++ b/packages/placement/simulation/simulation.cc
@@ -72,7 +72,7 @@
   const std::int64_t span = m_settings.faulty_time.count() * 3 / 4;
   for (int number = 0; number < m_settings.jobs; ++number) {
     m_events.After(m_events.Delay(2'000, span),
-                   [this, number] { SubmitJob(number, [] {}); });
+                   [this, number] { SubmitJob(number); });
     if (m_events.Chance(0.15)) {
       m_events.After(m_events.Delay(5'000, span),
                      [this, number] { CancelJob(number); });
@@ -325,12 +325,12 @@
   return job;
 }
 
-void Simulation::SubmitJob(int number, std::function<void()> retry) {
+void Simulation::SubmitJob(int number) {
   // An operator repeats a submission until it is known durable.
   const auto again = [this, number] {
     m_events.After(kRetryInterval, [this, number] {
       if (m_accepted.count(number) == 0) {
-        SubmitJob(number, [] {});
+        SubmitJob(number);
       }
     });
   };
@@ -346,7 +346,6 @@
     }
   }
   again();
-  retry();
 }
 
 void Simulation::CancelJob(int number) {
--- a/packages/placement/simulation/simulation.h
+++ b/packages/placement/simulation/simulation.h
@@ -76,7 +76,7 @@
   void InjectFault();
   void ToggleDomain();
   void CutLink();
-  void SubmitJob(int number, std::function<void()> retry);
+  void SubmitJob(int number);
   void CancelJob(int number);
   void HealEverything();
   void CheckEverythingEnded();
