--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,6 +1,12 @@
 # GCC 12 reports moved-from std::variant alternatives as uninitialized.
 set(ZC_WARNINGS -Wall -Wextra -Werror -Wno-maybe-uninitialized)
 
+if(NOT ZINNIACART_NODE_ONLY)
+  enable_testing()
+  find_package(PkgConfig REQUIRED)
+  pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+endif()
+
 # zinniacart_package(<name> DEPENDS <packages...> LIBRARIES <targets...>)
 # Declares one package: a static library of the folder's sources, and, where
 # the folder has tests, one CppUTest program registered with CTest.
@@ -19,7 +25,7 @@
   target_link_libraries(zc_${NAME} PUBLIC ${ARG_LIBRARIES})
 
   file(GLOB TESTS CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cc)
-  if(TESTS)
+  if(TESTS AND NOT ZINNIACART_NODE_ONLY)
     add_executable(${NAME}_tests ${TESTS} ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
     target_compile_options(${NAME}_tests PRIVATE ${ZC_WARNINGS})
     # The leak detector redefines "new", which breaks standard headers.
--- a/packages/base/clock.cc
+++ b/packages/base/clock.cc
@@ -1,5 +1,7 @@
 #include "base/clock.h"
 
+#include <time.h>
+
 namespace zinniacart {
 
 Instant SteadyClock::Now() const {
@@ -7,6 +9,15 @@
   return Instant{std::chrono::duration_cast<Duration>(since_boot).count()};
 }
 
+Instant BootClock::Now() const {
+  constexpr std::int64_t kMillisecondsPerSecond = 1000;
+  constexpr std::int64_t kNanosecondsPerMillisecond = 1000000;
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant{now.tv_sec * kMillisecondsPerSecond +
+                 now.tv_nsec / kNanosecondsPerMillisecond};
+}
+
 std::uint64_t DrawRunNumber() {
   const auto since_1970 = std::chrono::system_clock::now().time_since_epoch();
   const auto micros =
--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -39,6 +39,13 @@
   Instant Now() const override;
 };
 
+/// The host's monotonic clock that also counts the time for which the host was
+/// suspended, so that leases end in time however long that was.
+class BootClock final : public Clock {
+ public:
+  Instant Now() const override;
+};
+
 /// A clock that moves only when a test says so.
 class ManualClock final : public Clock {
  public:
--- /dev/null
+++ b/packages/hosting/host_supervisor.cc
@@ -0,0 +1,369 @@
+#include "hosting/host_supervisor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zinniacart {
+namespace {
+
+/// How long the outcome of an order is repeated in reports; the owner asks
+/// again where it missed it.
+constexpr Duration kRepeatResults{5000};
+/// An unanswered start is given up on this long after the worker would have
+/// refused it.
+constexpr std::int64_t kLateMarginMs = 50;
+
+}  // namespace
+
+HostSupervisor::HostSupervisor(Incarnation agent,
+                               SupervisorSettings settings,
+                               const Clock& clock)
+    : m_agent(agent), m_settings(settings), m_clock(clock) {}
+
+void HostSupervisor::OnAnnouncement(const WorkerFacts& facts,
+                                    std::uint64_t sequence) {
+  const auto known = m_facts.find(facts.incarnation);
+  if (known != m_facts.end() && sequence <= known->second.second) {
+    return;
+  }
+  const bool changed = known == m_facts.end() ||
+                       known->second.first.draining != facts.draining ||
+                       known->second.first.capacity != facts.capacity;
+  m_facts[facts.incarnation] = {facts, sequence};
+  if (changed) {
+    m_urgent_hold = true;
+    Changed();
+  }
+}
+
+Result<void> HostSupervisor::OnOrders(const HostOrders& orders) {
+  if (orders.epoch < m_epoch) {
+    return Fail(ErrorCode::kStaleEpoch,
+                "epoch " + std::to_string(orders.epoch.value()) +
+                    " is older than " + std::to_string(m_epoch.value()));
+  }
+  AdoptEpoch(orders.epoch);
+  m_granted_stamp = std::max(m_granted_stamp, orders.granted_stamp);
+  if (!m_incarnation || orders.incarnation != *m_incarnation) {
+    return {};
+  }
+  m_recorded_ends = std::max(m_recorded_ends, orders.recorded_ends);
+  for (const StartOrder& order : orders.starts) {
+    m_starts.try_emplace(order.id, Start{order, {}, {}, {}, {}});
+  }
+  for (const TaskRun& id : orders.stops) {
+    Stop& stop = m_stops[id];
+    stop.answered = false;
+  }
+  for (const PaceOrder& pace : orders.paces) {
+    m_paces[pace.id] = pace;
+  }
+  return {};
+}
+
+void HostSupervisor::AdoptEpoch(Epoch epoch) {
+  if (epoch == m_epoch) {
+    return;
+  }
+  m_epoch = epoch;
+  m_listed = false;
+  m_urgent_hold = true;
+  // Orders of the older owner that were not sent yet are void.
+  std::erase_if(m_starts, [](const auto& entry) {
+    return entry.second.phase == StartPhase::kWaiting;
+  });
+  m_stops.clear();
+  m_paces.clear();
+}
+
+void HostSupervisor::AdoptIncarnation(const WorkerIncarnation& incarnation) {
+  if (m_incarnation == incarnation) {
+    return;
+  }
+  m_incarnation = incarnation;
+  m_starts.clear();
+  m_stops.clear();
+  m_paces.clear();
+  m_running.clear();
+  m_ended.clear();
+  m_recorded_ends = 0;
+  std::erase_if(m_facts,
+                [&](const auto& entry) { return entry.first < incarnation; });
+  Changed();
+}
+
+void HostSupervisor::OnHoldAnswered(const HoldCall& call,
+                                    const Result<WorkerLists>& lists) {
+  if (call.wait.count() > 0) {
+    m_hold_in_flight = false;
+  }
+  if (!lists) {
+    if (m_reachable) {
+      Changed();
+    }
+    m_reachable = false;
+    m_hold_not_before = m_clock.Now() + m_settings.retry;
+    return;
+  }
+  if (call.id < m_newest_list) {
+    return;
+  }
+  m_newest_list = call.id;
+  if (!m_reachable) {
+    Changed();
+  }
+  m_reachable = true;
+  ApplyLists(call, *lists);
+}
+
+void HostSupervisor::ApplyLists(const HoldCall& call,
+                                const WorkerLists& lists) {
+  AdoptIncarnation(lists.incarnation);
+  m_worker_clock = lists.clock;
+  m_worker_clock_at = m_clock.Now();
+  std::map<TaskRun, Listed> running;
+  for (const RunningTask& task : lists.running) {
+    running[task.id] = Listed{task, call.id};
+  }
+  for (const auto& [id, listed] : m_running) {
+    const bool ended =
+        std::any_of(lists.ended.begin(), lists.ended.end(),
+                    [&](const EndedTask& end) { return end.id == id; });
+    if (listed.known_from > call.id && !ended) {
+      running.try_emplace(id, listed);
+    }
+  }
+  m_running = std::move(running);
+  const bool new_ends =
+      !lists.ended.empty() &&
+      (m_ended.empty() || lists.ended.back().number > m_ended.back().number);
+  m_ended = lists.ended;
+  ResolveUnanswered(call, lists);
+  const bool newly_listed = !m_listed && call.token == m_epoch;
+  m_listed = m_listed || newly_listed;
+  if (new_ends || newly_listed) {
+    Changed();
+  }
+}
+
+void HostSupervisor::ResolveUnanswered(const HoldCall&,
+                                       const WorkerLists& lists) {
+  for (auto& [id, start] : m_starts) {
+    if (start.phase != StartPhase::kUnanswered) {
+      continue;
+    }
+    const bool ended =
+        std::any_of(lists.ended.begin(), lists.ended.end(),
+                    [&id = id](const EndedTask& end) { return end.id == id; });
+    if (m_running.contains(id) || ended) {
+      Resolve(start, OrderOutcome::kStarted);
+    } else if (lists.clock.milliseconds >
+               start.not_after.milliseconds + kLateMarginMs) {
+      Resolve(start, OrderOutcome::kRefused);
+    }
+  }
+}
+
+void HostSupervisor::Resolve(Start& start, OrderOutcome outcome) {
+  start.phase = StartPhase::kResolved;
+  start.outcome = outcome;
+  start.resolved_at = m_clock.Now();
+  Changed();
+}
+
+void HostSupervisor::OnStartAnswered(const StartCall& call,
+                                     StartAnswer answer) {
+  const auto found = m_starts.find(call.order.id);
+  if (found == m_starts.end()) {
+    return;
+  }
+  Start& start = found->second;
+  switch (answer) {
+    case StartAnswer::kStarted:
+      m_running[call.order.id] =
+          Listed{RunningTask{call.order.id, call.order.resume_from, 100, 0},
+                 ++m_events};
+      Resolve(start, OrderOutcome::kStarted);
+      break;
+    case StartAnswer::kNoRoom:
+      Resolve(start, OrderOutcome::kNoRoom);
+      break;
+    case StartAnswer::kNoTicket:
+      Resolve(start, OrderOutcome::kNoTicket);
+      break;
+    case StartAnswer::kFenced:
+    case StartAnswer::kOld:
+    case StartAnswer::kTooLate:
+    case StartAnswer::kUnhealthy:
+    case StartAnswer::kInvalid:
+    case StartAnswer::kOtherWorker:
+    case StartAnswer::kUnreachable:
+      Resolve(start, OrderOutcome::kRefused);
+      break;
+    case StartAnswer::kUnanswered:
+      start.phase = StartPhase::kUnanswered;
+      m_urgent_hold = true;
+      break;
+  }
+}
+
+void HostSupervisor::OnStopAnswered(const StopCall& call, bool answered) {
+  const auto found = m_stops.find(call.id);
+  if (found == m_stops.end()) {
+    return;
+  }
+  found->second.sent = false;
+  found->second.answered = answered;
+  if (answered) {
+    found->second.answered_at = m_clock.Now();
+    m_urgent_hold = true;
+    Changed();
+  }
+}
+
+std::vector<WorkerCall> HostSupervisor::TakeCalls() {
+  ForgetOldResults();
+  std::vector<WorkerCall> calls;
+  for (auto& [id, stop] : m_stops) {
+    if (!stop.sent && !stop.answered && m_reachable) {
+      stop.sent = true;
+      calls.emplace_back(StopCall{id, worker(), m_epoch});
+    }
+  }
+  for (auto& [id, start] : m_starts) {
+    if (start.phase != StartPhase::kWaiting || !m_listed) {
+      continue;
+    }
+    if (!MayStart() || m_stops.contains(id)) {
+      Resolve(start, OrderOutcome::kRefused);
+      continue;
+    }
+    start.phase = StartPhase::kSent;
+    start.not_after = WorkerInstant{WorkerNow().milliseconds +
+                                    m_settings.times.start_validity.count()};
+    calls.emplace_back(
+        StartCall{start.order, worker(), m_epoch, start.not_after});
+  }
+  for (const auto& [id, pace] : m_paces) {
+    calls.emplace_back(PaceCall{pace, worker(), m_epoch});
+  }
+  m_paces.clear();
+  if (auto hold = NextHold()) {
+    calls.emplace_back(std::move(*hold));
+  }
+  return calls;
+}
+
+std::optional<HoldCall> HostSupervisor::NextHold() {
+  const bool due = m_urgent_hold ||
+                   (!m_hold_in_flight && m_clock.Now() >= m_hold_not_before);
+  if (!due) {
+    return std::nullopt;
+  }
+  HoldCall call;
+  call.id = ++m_events;
+  call.token = m_epoch;
+  call.recorded_ends = m_recorded_ends;
+  // The first call of a connection's life must not wait: nothing is known yet.
+  call.wait =
+      m_urgent_hold || !m_reachable ? Duration(0) : m_settings.hold_wait;
+  if (const auto until = LeaseUntil()) {
+    call.lease_until = *until;
+  }
+  m_urgent_hold = false;
+  if (call.wait.count() > 0) {
+    m_hold_in_flight = true;
+  } else {
+    m_hold_not_before = m_clock.Now() + m_settings.retry;
+  }
+  return call;
+}
+
+std::optional<WorkerInstant> HostSupervisor::LeaseUntil() const {
+  if (!m_incarnation || m_worker_clock_at == Instant() || !m_listed) {
+    return std::nullopt;
+  }
+  const Instant until = m_granted_stamp + m_settings.times.lease;
+  const Duration ahead = until - m_worker_clock_at;
+  if (until <= m_clock.Now()) {
+    return std::nullopt;
+  }
+  const auto on_worker_clock = static_cast<std::int64_t>(
+      static_cast<double>(ahead.count()) / m_settings.times.slowest_clock);
+  return WorkerInstant{m_worker_clock.milliseconds + on_worker_clock};
+}
+
+WorkerInstant HostSupervisor::WorkerNow() const {
+  return WorkerInstant{m_worker_clock.milliseconds +
+                       (m_clock.Now() - m_worker_clock_at).count()};
+}
+
+bool HostSupervisor::MayStart() const {
+  const Instant until = m_granted_stamp + m_settings.times.lease;
+  const bool draining = m_incarnation && m_facts.contains(*m_incarnation) &&
+                        m_facts.at(*m_incarnation).first.draining;
+  return m_reachable && !draining &&
+         until > m_clock.Now() + m_settings.times.start_validity;
+}
+
+bool HostSupervisor::LeaseLapsed() const {
+  return !m_reachable && m_clock.Now() > m_granted_stamp +
+                                             m_settings.times.lease +
+                                             m_settings.times.margin;
+}
+
+std::string HostSupervisor::worker() const {
+  const auto facts =
+      m_incarnation ? m_facts.find(*m_incarnation) : m_facts.end();
+  return facts == m_facts.end() ? std::string() : facts->second.first.worker;
+}
+
+void HostSupervisor::ForgetOldResults() {
+  const Instant now = m_clock.Now();
+  std::erase_if(m_starts, [&](const auto& entry) {
+    return entry.second.phase == StartPhase::kResolved &&
+           now - entry.second.resolved_at > kRepeatResults;
+  });
+  std::erase_if(m_stops, [&](const auto& entry) {
+    return entry.second.answered &&
+           now - entry.second.answered_at > kRepeatResults;
+  });
+}
+
+HostReport HostSupervisor::MakeReport() {
+  HostReport report;
+  report.agent = m_agent;
+  report.sequence = ++m_sequence;
+  report.stamp = m_clock.Now();
+  report.epoch = m_epoch;
+  report.incarnation = m_incarnation;
+  const auto facts =
+      m_incarnation ? m_facts.find(*m_incarnation) : m_facts.end();
+  if (facts != m_facts.end()) {
+    report.facts = facts->second.first;
+  }
+  report.listed = m_listed;
+  report.worker_reachable = m_reachable;
+  report.lease_lapsed = LeaseLapsed();
+  for (const auto& [id, listed] : m_running) {
+    report.running.push_back(listed.task);
+  }
+  for (const EndedTask& ended : m_ended) {
+    if (ended.number > m_recorded_ends) {
+      report.ended.push_back(ended);
+    }
+  }
+  for (const auto& [id, start] : m_starts) {
+    if (start.phase == StartPhase::kResolved) {
+      report.results.push_back(OrderResult{id, start.outcome});
+    }
+  }
+  for (const auto& [id, stop] : m_stops) {
+    if (stop.answered) {
+      report.results.push_back(OrderResult{id, OrderOutcome::kStopped});
+    }
+  }
+  return report;
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/hosting/host_supervisor.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "hosting/worker_calls.h"
+#include "scheduling/host_messages.h"
+#include "scheduling/scheduler_settings.h"
+
+namespace zinniacart {
+
+struct SupervisorSettings {
+  LeaseTimes times;
+  /// The longest lease that a worker accepts.
+  Duration longest_lease{10000};
+  /// How long a hold waits for an end; also the age of the lists at most.
+  Duration hold_wait{400};
+  /// Pause after a hold that failed.
+  Duration retry{150};
+};
+
+/// The only caller of one host's worker. It passes on the orders of the newest
+/// owner, keeps the worker's lease within what the owner vouched for, and
+/// knows for each order whether it was carried out, will be, or never will.
+/// It does no I/O: calls to the worker are taken from it and answered to it.
+class HostSupervisor final {
+ public:
+  HostSupervisor(Incarnation agent,
+                 SupervisorSettings settings,
+                 const Clock& clock);
+
+  /// The worker announced itself.
+  /// @param sequence grows with each announcement of one incarnation.
+  void OnAnnouncement(const WorkerFacts& facts, std::uint64_t sequence);
+
+  /// @returns `kStaleEpoch` where a newer owner is known.
+  Result<void> OnOrders(const HostOrders& orders);
+
+  void OnHoldAnswered(const HoldCall& call, const Result<WorkerLists>& lists);
+  void OnStartAnswered(const StartCall& call, StartAnswer answer);
+  /// @param answered whether the worker took the stop.
+  void OnStopAnswered(const StopCall& call, bool answered);
+
+  /// @returns the calls that are due, each once.
+  std::vector<WorkerCall> TakeCalls();
+
+  HostReport MakeReport();
+  /// Grows with each change that the owner should hear of at once.
+  std::uint64_t news() const { return m_news; }
+  /// @returns whether the lists were taken under the newest epoch.
+  bool listed() const { return m_listed; }
+  Epoch epoch() const { return m_epoch; }
+  const std::optional<WorkerIncarnation>& incarnation() const {
+    return m_incarnation;
+  }
+
+ private:
+  enum class StartPhase { kWaiting, kSent, kUnanswered, kResolved };
+  struct Start {
+    StartOrder order;
+    StartPhase phase = StartPhase::kWaiting;
+    WorkerInstant not_after;
+    OrderOutcome outcome = OrderOutcome::kRefused;
+    Instant resolved_at;
+  };
+  struct Stop {
+    bool sent = false;
+    bool answered = false;
+    Instant answered_at;
+  };
+  struct Listed {
+    RunningTask task;
+    std::uint64_t known_from = 0;  ///< Number of the event that told of it.
+  };
+
+  void AdoptEpoch(Epoch epoch);
+  void AdoptIncarnation(const WorkerIncarnation& incarnation);
+  void ApplyLists(const HoldCall& call, const WorkerLists& lists);
+  void ResolveUnanswered(const HoldCall& call, const WorkerLists& lists);
+  void Resolve(Start& start, OrderOutcome outcome);
+  void ForgetOldResults();
+  std::optional<HoldCall> NextHold();
+  std::optional<WorkerInstant> LeaseUntil() const;
+  WorkerInstant WorkerNow() const;
+  bool MayStart() const;
+  bool LeaseLapsed() const;
+  /// @returns the worker's id, empty before its first announcement.
+  std::string worker() const;
+  void Changed() { ++m_news; }
+
+  const Incarnation m_agent;
+  const SupervisorSettings m_settings;
+  const Clock& m_clock;
+
+  Epoch m_epoch;
+  Instant m_granted_stamp;
+  std::optional<WorkerIncarnation> m_incarnation;
+  std::map<WorkerIncarnation, std::pair<WorkerFacts, std::uint64_t>> m_facts;
+
+  // The newest reading of the worker's clock, and when it came in.
+  WorkerInstant m_worker_clock;
+  Instant m_worker_clock_at;
+
+  std::uint64_t m_events = 0;
+  bool m_hold_in_flight = false;
+  bool m_urgent_hold = false;
+  std::uint64_t m_newest_list = 0;
+  Instant m_hold_not_before;
+  bool m_reachable = false;
+  bool m_listed = false;
+
+  std::map<TaskRun, Start> m_starts;
+  std::map<TaskRun, Stop> m_stops;
+  std::map<TaskRun, PaceOrder> m_paces;
+  std::map<TaskRun, Listed> m_running;
+  std::vector<EndedTask> m_ended;
+  std::uint64_t m_recorded_ends = 0;
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_news = 0;
+};
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/jobs/job_spec.cc
@@ -0,0 +1,83 @@
+#include "jobs/job_spec.h"
+
+#include <algorithm>
+
+namespace zinniacart {
+namespace {
+
+std::string StepField(std::size_t step, const char* name) {
+  return "steps[" + std::to_string(step) + "]." + name;
+}
+
+Result<void> ValidateStep(const StepSpec& step,
+                          std::size_t number,
+                          const JobLimits& limits) {
+  if (step.count == 0 || step.count > limits.most_tasks_per_step) {
+    return Fail(ErrorCode::kInvalidArgument,
+                std::to_string(step.count) + " tasks, must be 1 to " +
+                    std::to_string(limits.most_tasks_per_step),
+                StepField(number, "count"));
+  }
+  if (!step.demand.IsNonNegative()) {
+    return Fail(ErrorCode::kInvalidArgument, "a demand is negative",
+                StepField(number, "demand"));
+  }
+  for (const std::uint32_t earlier : step.after) {
+    if (earlier >= number) {
+      return Fail(ErrorCode::kInvalidArgument,
+                  "step " + std::to_string(earlier) + " is not an earlier one",
+                  StepField(number, "after"));
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+bool JobSpec::perpetual() const {
+  return std::any_of(steps.begin(), steps.end(),
+                     [](const StepSpec& step) { return step.perpetual; });
+}
+
+Result<void> Validate(const JobSpec& spec, const JobLimits& limits) {
+  if (spec.payload.size() > limits.most_payload_bytes) {
+    return Fail(ErrorCode::kInvalidArgument,
+                std::to_string(spec.payload.size()) + " bytes, at most " +
+                    std::to_string(limits.most_payload_bytes),
+                "payload");
+  }
+  if (spec.steps.empty() || spec.steps.size() > limits.most_steps) {
+    return Fail(ErrorCode::kInvalidArgument,
+                std::to_string(spec.steps.size()) + " steps, must be 1 to " +
+                    std::to_string(limits.most_steps),
+                "steps");
+  }
+  for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+    auto valid = ValidateStep(spec.steps[number], number, limits);
+    if (!valid) {
+      return valid;
+    }
+  }
+  return {};
+}
+
+Duration ChainEstimate(const JobSpec& spec, std::uint32_t first_step) {
+  std::vector<Duration> to_end(spec.steps.size(), Duration(0));
+  for (std::size_t number = spec.steps.size(); number-- > first_step;) {
+    to_end[number] += spec.steps[number].estimate;
+    for (const std::uint32_t earlier : spec.steps[number].after) {
+      to_end[earlier] = std::max(to_end[earlier], to_end[number]);
+    }
+  }
+  return to_end[first_step];
+}
+
+Duration LongestChainEstimate(const JobSpec& spec) {
+  Duration longest{0};
+  for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+    longest = std::max(longest, ChainEstimate(spec, step));
+  }
+  return longest;
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/jobs/job_state.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/error.h"
+
+namespace zinniacart {
+
+/// What a caller sees of a job.
+enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+
+/// @returns the state's stable name, as stored and logged.
+const char* ToString(JobState state);
+
+/// @returns whether the state never changes again.
+inline bool IsTerminal(JobState state) {
+  return state != JobState::kQueued && state != JobState::kRunning;
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/jobs/task_key.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/ids.h"
+
+namespace zinniacart {
+
+/// Counts the starts of one task; the members of a gang share one number.
+using RunNumber = StrongType<struct RunNumberTag, std::uint64_t>;
+
+/// Names one task: its job, the occurrence of a repeated job, the step and the
+/// task's index in the step.
+struct TaskKey {
+  JobId job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+
+  auto operator<=>(const TaskKey&) const = default;
+
+  /// @returns "JOB.OCCURRENCE.STEP.INDEX".
+  std::string ToString() const;
+  /// @returns the task that `text` names, nothing where it names none.
+  static std::optional<TaskKey> Parse(const std::string& text);
+};
+
+/// One start of one task.
+struct TaskRun {
+  TaskKey task;
+  RunNumber run;
+
+  auto operator<=>(const TaskRun&) const = default;
+};
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/net/client_connection.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <optional>
+
+#include "net/http_types.h"
+
+namespace zinniacart::net {
+
+class HttpClient;
+
+/// One connection to a server; carries one request at a time. It goes back to
+/// its client's pool after a whole response.
+class ClientConnection final
+    : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(boost::asio::io_context& loop,
+                   std::shared_ptr<HttpClient> client);
+
+  /// Sends `request`, connecting first where needed.
+  void Start(Request request, Duration timeout, ResponseCallback done);
+
+ private:
+  void Prepare(Request request);
+  void Connect();
+  void Write();
+  void Read();
+  void Finish();
+  void FailWith(ErrorCode code, const boost::system::error_code& error);
+
+  boost::beast::tcp_stream m_stream;
+  boost::beast::flat_buffer m_buffer;
+  std::weak_ptr<HttpClient> m_client;
+  Address m_address;
+  boost::beast::http::request<boost::beast::http::string_body> m_request;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
+      m_parser;
+  ResponseCallback m_done;
+  bool m_connected = false;
+};
+
+}  // namespace zinniacart::net
--- /dev/null
+++ b/packages/net/http_client.cc
@@ -0,0 +1,46 @@
+#include "net/http_client.h"
+
+#include <utility>
+
+#include "net/client_connection.h"
+
+namespace zinniacart::net {
+namespace {
+
+/// Kept connections to one server; more are rarely in use at once.
+constexpr std::size_t kMostIdleConnections = 8;
+
+}  // namespace
+
+std::shared_ptr<HttpClient> HttpClient::Create(boost::asio::io_context& loop,
+                                               Address address) {
+  return std::shared_ptr<HttpClient>(new HttpClient(loop, std::move(address)));
+}
+
+HttpClient::HttpClient(boost::asio::io_context& loop, Address address)
+    : m_loop(loop), m_address(std::move(address)) {}
+
+void HttpClient::Call(Request request,
+                      Duration timeout,
+                      ResponseCallback done) {
+  std::shared_ptr<ClientConnection> connection;
+  if (m_idle.empty()) {
+    connection = std::make_shared<ClientConnection>(m_loop, shared_from_this());
+  } else {
+    connection = std::move(m_idle.back());
+    m_idle.pop_back();
+  }
+  connection->Start(std::move(request), timeout, std::move(done));
+}
+
+void HttpClient::DropIdleConnections() {
+  m_idle.clear();
+}
+
+void HttpClient::GiveBack(std::shared_ptr<ClientConnection> connection) {
+  if (m_idle.size() < kMostIdleConnections) {
+    m_idle.push_back(std::move(connection));
+  }
+}
+
+}  // namespace zinniacart::net
--- /dev/null
+++ b/packages/scheduling/host.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/resources.h"
+#include "jobs/job_spec.h"
+#include "scheduling/host_messages.h"
+
+namespace zinniacart {
+
+/// A run that is on a host, or may be.
+struct HostedRun {
+  Resources demand;
+  std::string image;
+  bool best_effort = false;
+  bool serves = false;
+  bool perpetual = false;
+  /// Version of the job that must be written before the start is ordered.
+  std::uint64_t job_version = 0;
+  bool ordered = false;    ///< The start may be sent.
+  bool started = false;    ///< The worker has it.
+  bool stopping = false;   ///< A stop may be sent.
+  bool recovered = false;  ///< Found in the store; ordered by an older owner.
+  StartOrder order;
+  /// Agent run that has the newest order, and since when.
+  Incarnation delivered_to;
+  Instant delivered_at;
+  Instant started_at;
+  RunningTask latest;  ///< As last listed.
+};
+
+/// The owner's belief about one host.
+class Host final {
+ public:
+  explicit Host(HostId id) : m_id(std::move(id)) {}
+
+  const HostId& id() const { return m_id; }
+
+  // What the agent last said.
+  std::optional<WorkerFacts> facts;
+  WorkerIncarnation incarnation;  ///< Whose runs `runs` holds.
+  Incarnation agent;
+  std::uint64_t sequence = 0;
+  bool listed = false;     ///< It has listed its runs under our epoch.
+  bool reachable = false;  ///< Agent and worker answer.
+  Instant heard_at;
+
+  /// The newest stamp that may be granted, and when it came in.
+  Instant stamp;
+  Instant stamp_received;
+  /// When the stamp that was granted last came in; nothing before the first.
+  std::optional<Instant> granted_received;
+
+  std::map<TaskRun, HostedRun> runs;
+  /// Runs that nobody wants; they get a stop until they are gone.
+  std::set<TaskRun> orphans;
+
+  /// Ends by number, with what must be written before they are forgotten.
+  struct PendingEnd {
+    JobId job;
+    std::uint64_t job_version = 0;
+  };
+  std::map<std::uint64_t, PendingEnd> pending_ends;
+  std::uint64_t processed_ends = 0;  ///< Ends up to this one were handled.
+  std::uint64_t recorded_ends = 0;   ///< Ends up to this one may be forgotten.
+
+  // Outcomes, for telling a sick host from a bad job.
+  std::uint32_t failures_in_row = 0;
+  std::optional<Instant> quarantined_until;
+
+  /// Something waits to be sent.
+  bool has_orders = false;
+
+  /// @returns the capacity less what runs, or may run, here. Best-effort work
+  /// does not count against the processors.
+  Resources Free() const;
+  /// @returns millicores that best-effort work could use beyond what it has.
+  std::int64_t IdleMillicores() const;
+  /// @returns how many tasks of the step run, or may run, here.
+  std::uint32_t CountOf(const JobId& job,
+                        std::uint32_t occurrence,
+                        std::uint32_t step) const;
+  /// @returns whether new work may go here.
+  bool Usable(Instant now) const;
+  /// @returns the rack among the labels, empty where there is none.
+  bool HasLabel(const std::string& label) const;
+
+ private:
+  HostId m_id;
+};
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/host_messages_codec.cc
@@ -0,0 +1,227 @@
+#include "scheduling/host_messages_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace zinniacart {
+namespace {
+
+using nlohmann::json;
+
+json EncodeRun(const TaskRun& id) {
+  return json::array({id.task.ToString(), id.run.value()});
+}
+
+TaskRun DecodeRun(const json& row) {
+  const auto task = TaskKey::Parse(row.at(0).get<std::string>());
+  if (!task) {
+    throw std::invalid_argument("task " + row.at(0).dump());
+  }
+  return TaskRun{*task, RunNumber(row.at(1).get<std::uint64_t>())};
+}
+
+json EncodeFacts(const WorkerFacts& facts) {
+  json row{{"worker", facts.worker},
+           {"incarnation", facts.incarnation.value()},
+           {"domain", facts.domain.value()},
+           {"service", facts.service.value()},
+           {"capacity",
+            json::array({facts.capacity.millicores, facts.capacity.memory_mb,
+                         facts.capacity.accelerators})},
+           {"labels", facts.labels}};
+  if (facts.draining) {
+    row["draining"] = true;
+  }
+  if (facts.remaining) {
+    row["remaining_ms"] = facts.remaining->count();
+  }
+  return row;
+}
+
+WorkerFacts DecodeFacts(const json& row) {
+  WorkerFacts facts;
+  facts.worker = row.at("worker");
+  facts.incarnation =
+      WorkerIncarnation(row.at("incarnation").get<std::int64_t>());
+  facts.domain = DomainId(row.at("domain").get<std::string>());
+  facts.service = ServiceId(row.at("service").get<std::string>());
+  const json& capacity = row.at("capacity");
+  facts.capacity = Resources{capacity.at(0), capacity.at(1), capacity.at(2)};
+  facts.labels = row.at("labels").get<std::vector<std::string>>();
+  facts.draining = row.value("draining", false);
+  if (row.contains("remaining_ms")) {
+    facts.remaining = Duration(row["remaining_ms"].get<std::int64_t>());
+  }
+  return facts;
+}
+
+json EncodeRunning(const RunningTask& task) {
+  json row = EncodeRun(task.id);
+  row.push_back(task.checkpoint.value());
+  row.push_back(task.percent);
+  row.push_back(task.measure);
+  return row;
+}
+
+RunningTask DecodeRunning(const json& row) {
+  return RunningTask{DecodeRun(row), CheckpointId(row.at(2).get<std::string>()),
+                     row.at(3), row.at(4)};
+}
+
+json EncodeEnded(const EndedTask& ended) {
+  json row = EncodeRun(ended.id);
+  row.push_back(ended.number);
+  row.push_back(static_cast<int>(ended.how));
+  row.push_back(ended.checkpoint.value());
+  return row;
+}
+
+EndedTask DecodeEnded(const json& row) {
+  return EndedTask{row.at(2).get<std::uint64_t>(), DecodeRun(row),
+                   static_cast<EndKind>(row.at(3).get<int>()),
+                   CheckpointId(row.at(4).get<std::string>())};
+}
+
+json EncodeStart(const StartOrder& order) {
+  json row{{"run", EncodeRun(order.id)}, {"payload", order.payload}};
+  if (!order.resume_from.value().empty()) {
+    row["resume_from"] = order.resume_from.value();
+  }
+  if (!order.ticket.empty()) {
+    row["ticket"] = order.ticket;
+  }
+  return row;
+}
+
+StartOrder DecodeStart(const json& row) {
+  return StartOrder{DecodeRun(row.at("run")), row.at("payload"),
+                    CheckpointId(row.value("resume_from", std::string())),
+                    row.value("ticket", std::string())};
+}
+
+template <typename Row, typename Encoder>
+json EncodeRows(const std::vector<Row>& rows, Encoder encode) {
+  json list = json::array();
+  for (const Row& row : rows) {
+    list.push_back(encode(row));
+  }
+  return list;
+}
+
+template <typename Row, typename Decoder>
+std::vector<Row> DecodeRows(const json& list, Decoder decode) {
+  std::vector<Row> rows;
+  rows.reserve(list.size());
+  for (const json& row : list) {
+    rows.push_back(decode(row));
+  }
+  return rows;
+}
+
+HostOrders DecodeOrdersRow(const json& row) {
+  HostOrders orders;
+  orders.epoch = Epoch(row.at("epoch").get<std::uint64_t>());
+  orders.owner = EntryId(row.at("owner").get<std::string>());
+  orders.incarnation =
+      WorkerIncarnation(row.at("incarnation").get<std::int64_t>());
+  orders.granted_stamp = Instant{row.at("granted_stamp")};
+  orders.recorded_ends = row.at("recorded_ends");
+  orders.starts = DecodeRows<StartOrder>(row.at("starts"), DecodeStart);
+  orders.stops = DecodeRows<TaskRun>(row.at("stops"), DecodeRun);
+  orders.paces = DecodeRows<PaceOrder>(row.at("paces"), [](const json& pace) {
+    return PaceOrder{DecodeRun(pace), pace.at(2)};
+  });
+  orders.wait = Duration(row.at("wait_ms").get<std::int64_t>());
+  return orders;
+}
+
+HostReport DecodeReportRow(const json& row) {
+  HostReport report;
+  report.agent = Incarnation(row.at("agent").get<std::uint64_t>());
+  report.sequence = row.at("sequence");
+  report.stamp = Instant{row.at("stamp")};
+  report.epoch = Epoch(row.at("epoch").get<std::uint64_t>());
+  if (row.contains("incarnation")) {
+    report.incarnation =
+        WorkerIncarnation(row["incarnation"].get<std::int64_t>());
+  }
+  if (row.contains("facts")) {
+    report.facts = DecodeFacts(row["facts"]);
+  }
+  report.listed = row.at("listed");
+  report.worker_reachable = row.at("reachable");
+  report.lease_lapsed = row.at("lapsed");
+  report.running = DecodeRows<RunningTask>(row.at("running"), DecodeRunning);
+  report.ended = DecodeRows<EndedTask>(row.at("ended"), DecodeEnded);
+  report.results =
+      DecodeRows<OrderResult>(row.at("results"), [](const json& result) {
+        return OrderResult{DecodeRun(result),
+                           static_cast<OrderOutcome>(result.at(2).get<int>())};
+      });
+  return report;
+}
+
+template <typename Message, typename Decoder>
+Result<Message> Decode(const std::string& bytes,
+                       const char* kind,
+                       Decoder decode) {
+  try {
+    return decode(json::parse(bytes));
+  } catch (const std::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument, error.what(), kind);
+  }
+}
+
+}  // namespace
+
+std::string Encode(const HostOrders& orders) {
+  return json{{"epoch", orders.epoch.value()},
+              {"owner", orders.owner.value()},
+              {"incarnation", orders.incarnation.value()},
+              {"granted_stamp", orders.granted_stamp.milliseconds},
+              {"recorded_ends", orders.recorded_ends},
+              {"starts", EncodeRows(orders.starts, EncodeStart)},
+              {"stops", EncodeRows(orders.stops, EncodeRun)},
+              {"paces", EncodeRows(orders.paces,
+                                   [](const PaceOrder& pace) {
+                                     json encoded = EncodeRun(pace.id);
+                                     encoded.push_back(pace.percent);
+                                     return encoded;
+                                   })},
+              {"wait_ms", orders.wait.count()}}
+      .dump();
+}
+
+std::string Encode(const HostReport& report) {
+  json row{
+      {"agent", report.agent.value()},
+      {"sequence", report.sequence},
+      {"stamp", report.stamp.milliseconds},
+      {"epoch", report.epoch.value()},
+      {"listed", report.listed},
+      {"reachable", report.worker_reachable},
+      {"lapsed", report.lease_lapsed},
+      {"running", EncodeRows(report.running, EncodeRunning)},
+      {"ended", EncodeRows(report.ended, EncodeEnded)},
+      {"results", EncodeRows(report.results, [](const OrderResult& result) {
+         json encoded = EncodeRun(result.id);
+         encoded.push_back(static_cast<int>(result.outcome));
+         return encoded;
+       })}};
+  if (report.incarnation) {
+    row["incarnation"] = report.incarnation->value();
+  }
+  if (report.facts) {
+    row["facts"] = EncodeFacts(*report.facts);
+  }
+  return row.dump();
+}
+
+Result<HostOrders> DecodeHostOrders(const std::string& bytes) {
+  return Decode<HostOrders>(bytes, "host orders", DecodeOrdersRow);
+}
+
+Result<HostReport> DecodeHostReport(const std::string& bytes) {
+  return Decode<HostReport>(bytes, "host report", DecodeReportRow);
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/host_messages_codec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+#include "base/error.h"
+#include "scheduling/host_messages.h"
+
+namespace zinniacart {
+
+/// @returns the message as JSON, for the wire between owner and agent.
+std::string Encode(const HostOrders& orders);
+std::string Encode(const HostReport& report);
+
+/// @returns the message, `kInvalidArgument` where the bytes hold none.
+Result<HostOrders> DecodeHostOrders(const std::string& bytes);
+Result<HostReport> DecodeHostReport(const std::string& bytes);
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/job.cc
@@ -0,0 +1,281 @@
+#include "scheduling/job.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace zinniacart {
+namespace {
+
+using nlohmann::json;
+
+/// How a stored row names the phase of its task.
+constexpr char kDoneMark = 'd';
+constexpr char kPlacedMark = 'r';
+constexpr char kPendingMark = 'p';
+
+bool Untouched(const Task& task) {
+  return task.phase == TaskPhase::kPending && task.run == RunNumber() &&
+         task.failures == 0;
+}
+
+char MarkOf(const Task& task) {
+  if (task.phase == TaskPhase::kDone) {
+    return kDoneMark;
+  }
+  return task.placed() ? kPlacedMark : kPendingMark;
+}
+
+json EncodeTask(std::size_t step, std::size_t index, const Task& task) {
+  const char mark = MarkOf(task);
+  json row = json::array({step, index, std::string(1, mark)});
+  if (mark == kDoneMark) {
+    return row;
+  }
+  row.push_back(task.run.value());
+  row.push_back(task.failures);
+  row.push_back(task.checkpoint.value());
+  if (mark == kPlacedMark) {
+    row.push_back(task.placement.host.value());
+    row.push_back(task.placement.incarnation.value());
+  }
+  return row;
+}
+
+Task DecodeTask(const json& row) {
+  Task task;
+  const char mark = row.at(2).get<std::string>().at(0);
+  if (mark == kDoneMark) {
+    task.phase = TaskPhase::kDone;
+    return task;
+  }
+  task.run = RunNumber(row.at(3).get<std::uint64_t>());
+  task.failures = row.at(4);
+  task.checkpoint = CheckpointId(row.at(5).get<std::string>());
+  if (mark == kPlacedMark) {
+    task.phase = TaskPhase::kPlaced;
+    task.placement =
+        Placement{HostId(row.at(6).get<std::string>()),
+                  WorkerIncarnation(row.at(7).get<std::int64_t>())};
+  }
+  return task;
+}
+
+std::optional<JobState> ParseState(const std::string& text) {
+  for (const JobState state :
+       {JobState::kQueued, JobState::kRunning, JobState::kCompleted,
+        JobState::kFailed, JobState::kCancelled}) {
+    if (text == ToString(state)) {
+      return state;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+Job::Job(JobRecord record, Instant accepted)
+    : m_record(std::move(record)), m_accepted(accepted) {
+  for (std::uint32_t k = 0; k < spec().occurrences(); ++k) {
+    for (const StepSpec& step : spec().steps) {
+      StepTasks tasks;
+      tasks.tasks.resize(step.count);
+      m_steps.push_back(std::move(tasks));
+    }
+  }
+  m_open_steps = m_steps.size();
+}
+
+Task* Job::Find(const TaskKey& key) {
+  if (key.occurrence >= spec().occurrences() ||
+      key.step >= spec().steps.size() ||
+      key.index >= spec().steps[key.step].count) {
+    return nullptr;
+  }
+  return &At(key.occurrence, key.step).tasks[key.index];
+}
+
+bool Job::Unblocked(std::uint32_t occurrence, std::uint32_t step) const {
+  const auto& after = spec().steps[step].after;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+    return At(occurrence, earlier).complete();
+  });
+}
+
+void Job::Place(const TaskKey& key,
+                RunNumber run,
+                const Placement& placement,
+                Instant now) {
+  Task& task = *Find(key);
+  task.phase = TaskPhase::kPlaced;
+  task.run = run;
+  task.placement = placement;
+  task.placed_at = now;
+  m_begun = true;
+  if (m_state == JobState::kQueued) {
+    m_state = JobState::kRunning;
+  }
+  Touch();
+}
+
+void Job::Release(const TaskKey& key,
+                  const CheckpointId& checkpoint,
+                  bool failed) {
+  Task& task = *Find(key);
+  StepTasks& step = At(key.occurrence, key.step);
+  if (task.phase == TaskPhase::kDone) {
+    return;
+  }
+  task.phase = TaskPhase::kPending;
+  if (!checkpoint.value().empty()) {
+    task.checkpoint = checkpoint;
+  }
+  if (failed) {
+    task.failed_on.push_back(task.placement.host);
+    CountFailure(key, step, task);
+  }
+  Touch();
+}
+
+void Job::CountFailure(const TaskKey& key, StepTasks& step, Task& task) {
+  const StepSpec& declared = spec().steps[key.step];
+  if (declared.gang) {
+    if (task.run <= step.failed_gang_run) {
+      return;
+    }
+    step.failed_gang_run = task.run;
+    for (Task& member : step.tasks) {
+      ++member.failures;
+    }
+  } else {
+    ++task.failures;
+  }
+  if (!declared.perpetual && task.failures >= policy().max_attempts) {
+    GiveUp();
+  }
+}
+
+void Job::Finish(const TaskKey& key) {
+  StepTasks& step = At(key.occurrence, key.step);
+  if (step.tasks[key.index].phase == TaskPhase::kDone) {
+    return;
+  }
+  if (spec().steps[key.step].gang) {
+    for (Task& member : step.tasks) {
+      FinishOne(step, member);
+    }
+  } else {
+    FinishOne(step, step.tasks[key.index]);
+  }
+  Touch();
+  if (step.complete() && --m_open_steps == 0 && active()) {
+    m_state = JobState::kCompleted;
+    m_ended_version = m_version;
+  }
+}
+
+void Job::FinishOne(StepTasks& step, Task& task) {
+  if (task.phase != TaskPhase::kDone) {
+    task.phase = TaskPhase::kDone;
+    ++step.done;
+  }
+}
+
+void Job::Cancel() {
+  if (active()) {
+    m_state = JobState::kCancelled;
+    // The cancellation is stored by itself; callers may see it at once.
+    m_written_state = JobState::kCancelled;
+  }
+}
+
+void Job::GiveUp() {
+  if (active()) {
+    m_state = JobState::kFailed;
+    Touch();
+    m_ended_version = m_version;
+  }
+}
+
+JobState Job::visible_state() const {
+  if (IsTerminal(m_written_state)) {
+    return m_written_state;
+  }
+  return m_begun ? JobState::kRunning : JobState::kQueued;
+}
+
+RunNumber Job::NextRun(const TaskKey& key) const {
+  const StepTasks& step = At(key.occurrence, key.step);
+  if (!spec().steps[key.step].gang) {
+    return step.tasks[key.index].run.Next();
+  }
+  RunNumber newest;
+  for (const Task& member : step.tasks) {
+    newest = std::max(newest, member.run);
+  }
+  return newest.Next();
+}
+
+void Job::MarkWritten(std::uint64_t version, std::uint64_t revision) {
+  m_written_version = std::max(m_written_version, version);
+  m_revision = revision;
+  if (IsTerminal(m_state) && version >= m_ended_version) {
+    m_written_state = m_state;
+  }
+}
+
+std::string Job::EncodeProgress() const {
+  json tasks = json::array();
+  // The tasks of a job that is over no longer matter, but for those that may
+  // still be at work.
+  for (std::size_t number = 0; number < m_steps.size(); ++number) {
+    const auto& step = m_steps[number].tasks;
+    for (std::size_t index = 0; index < step.size(); ++index) {
+      const Task& task = step[index];
+      if (!Untouched(task) && (active() || task.placed())) {
+        tasks.push_back(EncodeTask(number, index, task));
+      }
+    }
+  }
+  return json{{"state", ToString(m_state)}, {"tasks", std::move(tasks)}}.dump();
+}
+
+Result<void> Job::RestoreProgress(const std::string& bytes,
+                                  std::uint64_t revision) {
+  try {
+    const json row = json::parse(bytes);
+    const auto state = ParseState(row.at("state"));
+    if (!state) {
+      return Fail(ErrorCode::kInvalidArgument,
+                  "state " + row.at("state").dump(), "job " + id().value());
+    }
+    for (const json& encoded : row.at("tasks")) {
+      StepTasks& step = m_steps.at(encoded.at(0).get<std::size_t>());
+      Task& task = step.tasks.at(encoded.at(1).get<std::size_t>());
+      task = DecodeTask(encoded);
+      step.done += task.phase == TaskPhase::kDone ? 1U : 0U;
+      m_begun = true;
+    }
+    m_open_steps = static_cast<std::size_t>(
+        std::count_if(m_steps.begin(), m_steps.end(),
+                      [](const StepTasks& step) { return !step.complete(); }));
+    m_state = m_written_state = *state;
+    m_revision = revision;
+    return {};
+  } catch (const std::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument, error.what(),
+                "progress of job " + id().value());
+  }
+}
+
+void Job::ForEachTask(const std::function<void(const TaskKey&, Task&)>& visit) {
+  for (std::uint32_t k = 0; k < spec().occurrences(); ++k) {
+    for (std::uint32_t step = 0; step < spec().steps.size(); ++step) {
+      auto& tasks = At(k, step).tasks;
+      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        visit(TaskKey{id(), k, step, index}, tasks[index]);
+      }
+    }
+  }
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/placement.cc
@@ -0,0 +1,159 @@
+#include "scheduling/placement.h"
+
+#include <algorithm>
+
+namespace zinniacart {
+namespace {
+
+/// A best-effort task is not started where it would get less than this share
+/// of the processors it asks for: it would crawl and only disturb.
+constexpr double kLeastBestEffortShare = 0.6;
+/// Cost, in millicores of room, of a host away from the task's data.
+constexpr double kFarFromDataCost = 100000.0;
+/// Cost of a host on which the task failed before; such a host is used only
+/// where nothing else fits.
+constexpr double kFailedBeforeCost = 1000000.0;
+/// Cost of putting best-effort work beside a serving task, or the reverse.
+constexpr double kDisturbanceCost = 20000.0;
+
+bool Allowed(const PlacementView& view,
+             const PlacementRequest& request,
+             const Host& host) {
+  const StepSpec& step = request.step;
+  return host.Usable(view.now) &&
+         host.facts->service == request.job.policy().service &&
+         !view.evacuated.contains(host.facts->domain) &&
+         (step.required_label.empty() || host.HasLabel(step.required_label));
+}
+
+bool ServingTasksAt(const Host& host) {
+  return std::any_of(host.runs.begin(), host.runs.end(),
+                     [](const auto& entry) { return entry.second.serves; });
+}
+
+bool BestEffortTasksAt(const Host& host) {
+  return std::any_of(host.runs.begin(), host.runs.end(), [](const auto& entry) {
+    return entry.second.best_effort;
+  });
+}
+
+/// @returns the cost of the host for the task, nothing where it does not fit.
+std::optional<double> CostAt(const PlacementRequest& request,
+                             const Host& host,
+                             const Resources& taken) {
+  const StepSpec& step = request.step;
+  Resources demand = step.demand;
+  if (step.best_effort) {
+    demand.millicores = 0;
+  }
+  const Resources free = host.Free() - taken;
+  if (!demand.FitsIn(free)) {
+    return std::nullopt;
+  }
+  double cost = 0;
+  if (step.best_effort) {
+    const auto idle = host.IdleMillicores() - taken.millicores;
+    if (static_cast<double>(idle) <
+        kLeastBestEffortShare * static_cast<double>(step.demand.millicores)) {
+      return std::nullopt;
+    }
+    cost -= static_cast<double>(idle);
+    cost += ServingTasksAt(host) ? kDisturbanceCost : 0.0;
+  } else {
+    cost += static_cast<double>(free.millicores - demand.millicores);
+    cost += step.serves() && BestEffortTasksAt(host) ? kDisturbanceCost : 0.0;
+  }
+  if (!step.preferred_rack.empty() && !host.HasLabel(step.preferred_rack)) {
+    cost += kFarFromDataCost;
+  }
+  const auto& failed_on = request.task.failed_on;
+  cost +=
+      kFailedBeforeCost * static_cast<double>(std::count(
+                              failed_on.begin(), failed_on.end(), host.id()));
+  return cost;
+}
+
+std::optional<std::vector<HostId>> FitGang(const PlacementView& view,
+                                           const Job& job,
+                                           std::uint32_t occurrence,
+                                           std::uint32_t step,
+                                           const std::string& rack) {
+  const StepTasks& tasks = job.At(occurrence, step);
+  StepSpec declared = job.spec().steps[step];
+  if (!rack.empty()) {
+    declared.required_label = rack;
+  }
+  RoomTaken taken;
+  std::map<HostId, std::uint32_t> count;
+  std::vector<HostId> chosen;
+  for (std::uint32_t index = 0; index < tasks.tasks.size(); ++index) {
+    const PlacementRequest request{job,
+                                   TaskKey{job.id(), occurrence, step, index},
+                                   declared, tasks.tasks[index]};
+    PlacementView open = view;
+    const auto host = ChooseHost(open, request, taken);
+    if (!host) {
+      return std::nullopt;
+    }
+    if (declared.most_per_host > 0 && ++count[*host] > declared.most_per_host) {
+      return std::nullopt;
+    }
+    taken[*host] += declared.demand;
+    chosen.push_back(*host);
+  }
+  return chosen;
+}
+
+std::set<std::string> LabelsOf(const PlacementView& view) {
+  std::set<std::string> labels;
+  for (const auto& [id, host] : view.hosts) {
+    if (host.facts) {
+      labels.insert(host.facts->labels.begin(), host.facts->labels.end());
+    }
+  }
+  return labels;
+}
+
+}  // namespace
+
+std::optional<HostId> ChooseHost(const PlacementView& view,
+                                 const PlacementRequest& request,
+                                 const RoomTaken& taken) {
+  std::optional<HostId> best;
+  double best_cost = 0;
+  for (const auto& [id, host] : view.hosts) {
+    if (!Allowed(view, request, host)) {
+      continue;
+    }
+    const std::uint32_t most = request.step.most_per_host;
+    if (most > 0 && host.CountOf(request.key.job, request.key.occurrence,
+                                 request.key.step) >= most) {
+      continue;
+    }
+    const auto promised = taken.find(id);
+    const auto cost =
+        CostAt(request, host,
+               promised == taken.end() ? Resources{} : promised->second);
+    if (cost && (!best || *cost < best_cost)) {
+      best = id;
+      best_cost = *cost;
+    }
+  }
+  return best;
+}
+
+std::optional<std::vector<HostId>> ChooseGangHosts(const PlacementView& view,
+                                                   const Job& job,
+                                                   std::uint32_t occurrence,
+                                                   std::uint32_t step) {
+  if (job.spec().steps[step].same_rack) {
+    for (const std::string& label : LabelsOf(view)) {
+      if (auto hosts = FitGang(view, job, occurrence, step, label)) {
+        return hosts;
+      }
+    }
+  }
+  return FitGang(view, job, occurrence, step, {});
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/placement.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "scheduling/host.h"
+#include "scheduling/job.h"
+
+namespace zinniacart {
+
+/// What a placement decision may look at.
+struct PlacementView {
+  const std::map<HostId, Host>& hosts;
+  const std::set<DomainId>& evacuated;
+  Instant now;
+};
+
+/// One task that needs a host.
+struct PlacementRequest {
+  const Job& job;
+  TaskKey key;
+  const StepSpec& step;
+  const Task& task;
+};
+
+/// Room already promised within one decision, by host.
+using RoomTaken = std::map<HostId, Resources>;
+
+/// Chooses the host for one task. Load it answers: mixed sizes on hosts of
+/// uneven size, where small tasks must not break up the room that large ones
+/// need: the tightest fit wins. Best-effort tasks go where most processors
+/// are idle and no task with a latency target is disturbed.
+/// @param taken room promised to other members of a gang.
+/// @returns the host, nothing where none fits now.
+std::optional<HostId> ChooseHost(const PlacementView& view,
+                                 const PlacementRequest& request,
+                                 const RoomTaken& taken = {});
+
+/// Chooses hosts for all tasks of a gang at once.
+/// @returns one host a task in index order, nothing where they do not all fit.
+std::optional<std::vector<HostId>> ChooseGangHosts(const PlacementView& view,
+                                                   const Job& job,
+                                                   std::uint32_t occurrence,
+                                                   std::uint32_t step);
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/scheduler.cc
@@ -0,0 +1,332 @@
+#include "scheduling/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "scheduling/placement.h"
+
+namespace zinniacart {
+
+Scheduler::Scheduler(SchedulerSettings settings,
+                     const Clock& clock,
+                     DecisionLog log)
+    : m_settings(settings), m_clock(clock), m_log(std::move(log)) {}
+
+void Scheduler::Begin(Epoch epoch, EntryId owner) {
+  m_epoch = epoch;
+  m_owner = std::move(owner);
+  m_began = m_clock.Now();
+  m_jobs.clear();
+  m_hosts.clear();
+  m_dirty.clear();
+  m_dirty_set.clear();
+  m_ended.clear();
+}
+
+void Scheduler::SetConfiguration(SiteConfiguration configuration) {
+  m_configuration = std::move(configuration);
+  for (auto& [id, job] : m_jobs) {
+    if (const Queue* queue = m_configuration.Find(job->record().queue)) {
+      job->SetPolicy(queue->policy);
+    }
+  }
+}
+
+void Scheduler::SetEvacuated(std::set<DomainId> domains) {
+  m_evacuated = std::move(domains);
+}
+
+void Scheduler::AddJob(JobRecord record, Duration age) {
+  if (m_jobs.contains(record.id)) {
+    return;
+  }
+  if (const Queue* queue = m_configuration.Find(record.queue)) {
+    record.policy = queue->policy;
+  }
+  const JobId id = record.id;
+  m_jobs.emplace(id,
+                 std::make_unique<Job>(std::move(record), m_clock.Now() - age));
+}
+
+Result<void> Scheduler::RestoreProgress(const JobId& id,
+                                        const std::string& bytes,
+                                        std::uint64_t revision) {
+  Job* job = FindJob(id);
+  if (job == nullptr) {
+    return Fail(ErrorCode::kNotFound, "job " + id.value() + " is not stored");
+  }
+  auto restored = job->RestoreProgress(bytes, revision);
+  if (!restored) {
+    return restored;
+  }
+  job->ForEachTask([&](const TaskKey& key, Task& task) {
+    if (!task.placed()) {
+      return;
+    }
+    Host& host = m_hosts.try_emplace(task.placement.host, task.placement.host)
+                     .first->second;
+    const StepSpec& step = job->spec().steps[key.step];
+    HostedRun run;
+    run.demand = step.demand;
+    run.image = step.image;
+    run.best_effort = step.best_effort;
+    run.serves = step.serves();
+    run.perpetual = step.perpetual;
+    run.recovered = true;
+    host.runs.emplace(TaskRun{key, task.run}, std::move(run));
+    task.placed_at = m_clock.Now();
+  });
+  if (!job->active()) {
+    StopTasksOf(*job);
+    m_ended.emplace_back(m_clock.Now(), id);
+  }
+  return {};
+}
+
+void Scheduler::CancelJob(const JobId& id) {
+  Job* job = FindJob(id);
+  if (job == nullptr || !job->active()) {
+    return;
+  }
+  job->Cancel();
+  m_ended.emplace_back(m_clock.Now(), id);
+  m_log({"job cancelled", TaskRun{TaskKey{id}, {}}, {}, {}});
+  StopTasksOf(*job);
+}
+
+void Scheduler::StopTasksOf(Job& job) {
+  job.ForEachTask([&](const TaskKey& key, Task& task) {
+    if (!task.placed()) {
+      return;
+    }
+    task.phase = TaskPhase::kStopping;
+    Host& host = m_hosts.at(task.placement.host);
+    const TaskRun id{key, task.run};
+    const auto found = host.runs.find(id);
+    if (found == host.runs.end()) {
+      return;
+    }
+    HostedRun& run = found->second;
+    if (!run.ordered && !run.recovered) {
+      DropRun(host, id, {}, false, "cancelled before its start");
+      return;
+    }
+    run.stopping = true;
+    run.delivered_to = {};
+    host.has_orders = true;
+  });
+}
+
+void Scheduler::AddHost(const HostId& id) {
+  m_hosts.try_emplace(id, id);
+}
+
+void Scheduler::OnTick() {
+  const Instant now = m_clock.Now();
+  for (auto& [id, host] : m_hosts) {
+    if (host.reachable && now - host.heard_at > m_settings.silence) {
+      host.reachable = false;
+    }
+    if (!host.runs.empty() && now - host.heard_at > m_settings.silence &&
+        now > host.granted_received.value_or(m_began) + LapseBound(host)) {
+      LapseRuns(host, "the host is silent and its lease has lapsed");
+    }
+    for (auto& [run_id, run] : host.runs) {
+      const bool waits = (run.ordered && !run.started) || run.stopping;
+      if (waits && run.delivered_to != Incarnation() &&
+          now - run.delivered_at > m_settings.redelivery) {
+        run.delivered_to = {};
+        host.has_orders = true;
+      }
+    }
+    if (!host.orphans.empty()) {
+      host.has_orders = true;
+    }
+  }
+  while (!m_ended.empty() &&
+         now - m_ended.front().first > m_settings.remember_ended) {
+    m_jobs.erase(m_ended.front().second);
+    m_ended.pop_front();
+  }
+}
+
+Duration Scheduler::LapseBound(const Host& host) const {
+  const Duration lapse = m_settings.times.LapseTime();
+  // Before we granted anything, an older owner may have, while it was sure
+  // of its ownership.
+  return host.granted_received ? lapse : lapse + m_settings.times.confirmation;
+}
+
+std::vector<ProgressWrite> Scheduler::TakeWrites(std::size_t most) {
+  std::vector<ProgressWrite> writes;
+  while (!m_dirty.empty() && writes.size() < most) {
+    const JobId id = m_dirty.front();
+    m_dirty.pop_front();
+    m_dirty_set.erase(id);
+    Job* job = FindJob(id);
+    if (job != nullptr && job->dirty()) {
+      writes.push_back(ProgressWrite{id, job->EncodeProgress(), job->version(),
+                                     job->revision()});
+    }
+  }
+  return writes;
+}
+
+void Scheduler::OnWritten(const std::vector<ProgressWrite>& writes,
+                          std::uint64_t revision) {
+  for (const ProgressWrite& write : writes) {
+    Job* job = FindJob(write.job);
+    if (job == nullptr) {
+      continue;
+    }
+    const bool was_visible = IsTerminal(job->visible_state());
+    job->MarkWritten(write.version, revision);
+    if (!was_visible && IsTerminal(job->visible_state())) {
+      m_ended.emplace_back(m_clock.Now(), write.job);
+      m_log({"job ended",
+             TaskRun{TaskKey{write.job}, {}},
+             {},
+             ToString(job->visible_state())});
+    }
+    ReleaseOrders(*job);
+  }
+  for (auto& [id, host] : m_hosts) {
+    AdvanceRecordedEnds(host);
+  }
+}
+
+void Scheduler::OnWriteFailed(const std::vector<ProgressWrite>& writes) {
+  for (const ProgressWrite& write : writes) {
+    if (Job* job = FindJob(write.job)) {
+      Touched(*job);
+    }
+  }
+}
+
+void Scheduler::OnWriteConflict(
+    const std::map<JobId, std::uint64_t>& revisions) {
+  for (const auto& [id, revision] : revisions) {
+    if (Job* job = FindJob(id)) {
+      job->SetRevision(revision);
+      Touched(*job);
+    }
+  }
+}
+
+void Scheduler::ReleaseOrders(Job& job) {
+  job.ForEachTask([&](const TaskKey& key, Task& task) {
+    if (task.phase != TaskPhase::kPlaced) {
+      return;
+    }
+    Host& host = m_hosts.at(task.placement.host);
+    const auto found = host.runs.find(TaskRun{key, task.run});
+    if (found == host.runs.end()) {
+      return;
+    }
+    HostedRun& run = found->second;
+    if (!run.ordered && !run.recovered &&
+        run.job_version <= job.written_version()) {
+      run.ordered = true;
+      host.has_orders = true;
+    }
+  });
+}
+
+void Scheduler::AdvanceRecordedEnds(Host& host) {
+  while (!host.pending_ends.empty()) {
+    const auto& [number, end] = *host.pending_ends.begin();
+    const Job* job = FindJob(end.job);
+    if (job != nullptr && job->written_version() < end.job_version) {
+      return;
+    }
+    host.recorded_ends = number;
+    host.pending_ends.erase(host.pending_ends.begin());
+  }
+}
+
+std::vector<HostId> Scheduler::HostsWithOrders() const {
+  std::vector<HostId> hosts;
+  for (const auto& [id, host] : m_hosts) {
+    if (host.has_orders && host.listed) {
+      hosts.push_back(id);
+    }
+  }
+  return hosts;
+}
+
+HostOrders Scheduler::TakeOrders(const HostId& id, bool vouch) {
+  Host& host = m_hosts.at(id);
+  HostOrders orders;
+  orders.epoch = m_epoch;
+  orders.owner = m_owner;
+  orders.incarnation = host.incarnation;
+  orders.recorded_ends = host.recorded_ends;
+  if (vouch && host.listed) {
+    host.granted_received = host.stamp_received;
+  }
+  orders.granted_stamp =
+      host.granted_received && vouch ? host.stamp : Instant{0};
+  const Instant now = m_clock.Now();
+  for (auto& [run_id, run] : host.runs) {
+    if (run.delivered_to == host.agent && host.agent != Incarnation()) {
+      continue;
+    }
+    if (run.stopping) {
+      orders.stops.push_back(run_id);
+    } else if (run.ordered && !run.started) {
+      orders.starts.push_back(run.order);
+    } else {
+      continue;
+    }
+    run.delivered_to = host.agent;
+    run.delivered_at = now;
+  }
+  orders.stops.insert(orders.stops.end(), host.orphans.begin(),
+                      host.orphans.end());
+  host.orphans.clear();
+  host.has_orders = false;
+  return orders;
+}
+
+void Scheduler::OnOrdersLost(const HostId& id) {
+  const auto found = m_hosts.find(id);
+  if (found == m_hosts.end()) {
+    return;
+  }
+  Host& host = found->second;
+  for (auto& [run_id, run] : host.runs) {
+    if (!run.started || run.stopping) {
+      run.delivered_to = {};
+      host.has_orders = true;
+    }
+  }
+}
+
+std::optional<JobState> Scheduler::StateOf(const JobId& id) const {
+  const auto found = m_jobs.find(id);
+  if (found == m_jobs.end()) {
+    return std::nullopt;
+  }
+  return found->second->visible_state();
+}
+
+std::size_t Scheduler::CountWaiting(const QueueId& queue) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto& entry) {
+        const Job& job = *entry.second;
+        return job.record().queue == queue && job.active() && !job.begun();
+      }));
+}
+
+void Scheduler::Touched(Job& job) {
+  if (m_dirty_set.insert(job.id()).second) {
+    m_dirty.push_back(job.id());
+  }
+}
+
+Job* Scheduler::FindJob(const JobId& id) {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/scheduler.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "jobs/job_record.h"
+#include "jobs/job_state.h"
+#include "jobs/queue.h"
+#include "scheduling/host.h"
+#include "scheduling/host_messages.h"
+#include "scheduling/job.h"
+#include "scheduling/scheduler_settings.h"
+
+namespace zinniacart {
+
+/// One job's progress, to be written to the store.
+struct ProgressWrite {
+  JobId job;
+  std::string bytes;
+  std::uint64_t version = 0;   ///< Of the job; see `Job::version`.
+  std::uint64_t revision = 0;  ///< The store's revision that it replaces.
+};
+
+/// One decision, for the log.
+struct DecisionEvent {
+  const char* name;
+  TaskRun run;
+  HostId host;
+  std::string detail;
+};
+
+/// The decisions of the owner: which task runs where. It does no I/O: it is
+/// fed jobs, reports and results of writes, and is asked for writes and
+/// orders. A start is ordered only after the write that records it.
+class Scheduler final {
+ public:
+  using DecisionLog = std::function<void(const DecisionEvent&)>;
+
+  Scheduler(SchedulerSettings settings, const Clock& clock, DecisionLog log);
+
+  /// Begins a term of ownership, with nothing known.
+  void Begin(Epoch epoch, EntryId owner);
+
+  void SetConfiguration(SiteConfiguration configuration);
+  void SetEvacuated(std::set<DomainId> domains);
+
+  /// Adds an accepted job; one that is known already is left as it is.
+  /// @param age how long ago it was accepted.
+  void AddJob(JobRecord record, Duration age);
+  /// Restores the progress of a job that was added, at takeover.
+  Result<void> RestoreProgress(const JobId& job,
+                               const std::string& bytes,
+                               std::uint64_t revision);
+  void CancelJob(const JobId& job);
+
+  void AddHost(const HostId& host);
+  void OnReport(const HostId& host, const HostReport& report);
+  /// Lets time pass: leases lapse, orders are repeated.
+  void OnTick();
+  /// Places what can be placed.
+  void Place();
+
+  /// @returns the writes that wait, at most `most`.
+  std::vector<ProgressWrite> TakeWrites(std::size_t most);
+  /// All of `writes` are stored, at `revision`.
+  void OnWritten(const std::vector<ProgressWrite>& writes,
+                 std::uint64_t revision);
+  /// It is not known whether the writes took effect; they are due again.
+  void OnWriteFailed(const std::vector<ProgressWrite>& writes);
+  /// The store holds other revisions than thought: an earlier attempt of ours
+  /// took effect. The writes are due again.
+  void OnWriteConflict(const std::map<JobId, std::uint64_t>& revisions);
+
+  /// @returns the hosts for which orders wait.
+  std::vector<HostId> HostsWithOrders() const;
+  /// @returns the orders for `host` and notes them as sent.
+  HostOrders TakeOrders(const HostId& host, bool vouch);
+  /// The orders did not arrive, or may not have.
+  void OnOrdersLost(const HostId& host);
+
+  /// @returns the job's state, nothing where it is not known.
+  std::optional<JobState> StateOf(const JobId& job) const;
+  /// @returns how many jobs of the queue wait for their first task.
+  std::size_t CountWaiting(const QueueId& queue) const;
+
+  const std::map<JobId, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
+  const std::map<HostId, Host>& hosts() const { return m_hosts; }
+  Epoch epoch() const { return m_epoch; }
+
+ private:
+  struct ReadyStep {
+    Job* job;
+    std::uint32_t occurrence;
+    std::uint32_t step;
+    double urgency;  ///< Smaller comes first.
+  };
+
+  // Reports.
+  void AdoptAgent(Host& host, const HostReport& report);
+  void AdoptIncarnation(Host& host, const HostReport& report);
+  void HandleEnds(Host& host, const HostReport& report);
+  void HandleRunning(Host& host, const HostReport& report);
+  void HandleResults(Host& host, const HostReport& report);
+  void HandleAbsent(Host& host, const HostReport& report);
+  void ApplyEnd(Host& host, const EndedTask& ended);
+  void CountOutcome(Host& host, const TaskRun& id, bool failed);
+  void LapseRuns(Host& host, const char* reason);
+  void DropRun(Host& host,
+               const TaskRun& id,
+               const CheckpointId& checkpoint,
+               bool failed,
+               const char* reason);
+  void AdvanceRecordedEnds(Host& host);
+  Duration LapseBound(const Host& host) const;
+
+  // Placement.
+  std::vector<ReadyStep> ReadySteps();
+  void CollectReadySteps(Job& job, std::vector<ReadyStep>& ready);
+  double UrgencyOf(const Job& job, std::uint32_t step) const;
+  bool Due(const Job& job, std::uint32_t occurrence) const;
+  void PlaceStep(const ReadyStep& ready);
+  void PlaceGang(const ReadyStep& ready);
+  void PlaceTask(Job& job, const TaskKey& key, Host& host);
+
+  // Jobs.
+  void StopTasksOf(Job& job);
+  void Touched(Job& job);
+  void ReleaseOrders(Job& job);
+  Job* FindJob(const JobId& id);
+
+  const SchedulerSettings m_settings;
+  const Clock& m_clock;
+  const DecisionLog m_log;
+  Epoch m_epoch;
+  EntryId m_owner;
+  Instant m_began;
+  SiteConfiguration m_configuration;
+  std::set<DomainId> m_evacuated;
+  std::map<JobId, std::unique_ptr<Job>> m_jobs;
+  std::map<HostId, Host> m_hosts;
+  std::deque<JobId> m_dirty;
+  std::set<JobId> m_dirty_set;
+  std::deque<std::pair<Instant, JobId>> m_ended;
+};
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/scheduler_placement.cc
@@ -0,0 +1,142 @@
+#include <algorithm>
+
+#include "scheduling/placement.h"
+#include "scheduling/scheduler.h"
+
+namespace zinniacart {
+namespace {
+
+/// Each level of priority comes before all urgencies of the next one.
+constexpr double kPriorityWeight = 1e9;
+
+}  // namespace
+
+void Scheduler::Place() {
+  for (const ReadyStep& ready : ReadySteps()) {
+    if (ready.job->spec().steps[ready.step].gang) {
+      PlaceGang(ready);
+    } else {
+      PlaceStep(ready);
+    }
+  }
+}
+
+std::vector<Scheduler::ReadyStep> Scheduler::ReadySteps() {
+  std::vector<ReadyStep> ready;
+  for (auto& [id, job] : m_jobs) {
+    if (job->active()) {
+      CollectReadySteps(*job, ready);
+    }
+  }
+  std::stable_sort(ready.begin(), ready.end(),
+                   [](const ReadyStep& left, const ReadyStep& right) {
+                     return left.urgency < right.urgency;
+                   });
+  return ready;
+}
+
+void Scheduler::CollectReadySteps(Job& job, std::vector<ReadyStep>& ready) {
+  for (std::uint32_t k = 0; k < job.spec().occurrences(); ++k) {
+    if (!Due(job, k)) {
+      return;
+    }
+    for (std::uint32_t step = 0; step < job.spec().steps.size(); ++step) {
+      const StepTasks& tasks = job.At(k, step);
+      const bool pending = std::any_of(
+          tasks.tasks.begin(), tasks.tasks.end(),
+          [](const Task& task) { return task.phase == TaskPhase::kPending; });
+      if (pending && job.Unblocked(k, step)) {
+        ready.push_back(ReadyStep{&job, k, step, UrgencyOf(job, step)});
+      }
+    }
+  }
+}
+
+bool Scheduler::Due(const Job& job, std::uint32_t occurrence) const {
+  const Schedule& schedule = job.spec().schedule;
+  if (schedule.occurrences == 0) {
+    return true;
+  }
+  const std::int64_t due =
+      schedule.first_at_ms + schedule.interval.count() * occurrence;
+  return WallClockMilliseconds() >= due + m_settings.after_due.count();
+}
+
+double Scheduler::UrgencyOf(const Job& job, std::uint32_t step) const {
+  const QueuePolicy& policy = job.policy();
+  const double objective =
+      policy.stretch *
+          static_cast<double>(LongestChainEstimate(job.spec()).count()) +
+      static_cast<double>(policy.objective.count());
+  const double age =
+      static_cast<double>((m_clock.Now() - job.accepted()).count());
+  const double slack =
+      objective - age -
+      static_cast<double>(ChainEstimate(job.spec(), step).count());
+  return kPriorityWeight * policy.priority + slack;
+}
+
+void Scheduler::PlaceStep(const ReadyStep& ready) {
+  Job& job = *ready.job;
+  const StepSpec& step = job.spec().steps[ready.step];
+  StepTasks& tasks = job.At(ready.occurrence, ready.step);
+  const PlacementView view{m_hosts, m_evacuated, m_clock.Now()};
+  for (std::uint32_t index = 0; index < tasks.tasks.size(); ++index) {
+    Task& task = tasks.tasks[index];
+    if (task.phase != TaskPhase::kPending) {
+      continue;
+    }
+    const TaskKey key{job.id(), ready.occurrence, ready.step, index};
+    const auto host = ChooseHost(view, PlacementRequest{job, key, step, task});
+    if (!host) {
+      return;
+    }
+    PlaceTask(job, key, m_hosts.at(*host));
+  }
+}
+
+void Scheduler::PlaceGang(const ReadyStep& ready) {
+  Job& job = *ready.job;
+  const StepTasks& tasks = job.At(ready.occurrence, ready.step);
+  const bool all_pending = std::all_of(
+      tasks.tasks.begin(), tasks.tasks.end(),
+      [](const Task& task) { return task.phase == TaskPhase::kPending; });
+  if (!all_pending) {
+    return;
+  }
+  const PlacementView view{m_hosts, m_evacuated, m_clock.Now()};
+  const auto hosts = ChooseGangHosts(view, job, ready.occurrence, ready.step);
+  if (!hosts) {
+    return;
+  }
+  for (std::uint32_t index = 0; index < hosts->size(); ++index) {
+    PlaceTask(job, TaskKey{job.id(), ready.occurrence, ready.step, index},
+              m_hosts.at((*hosts)[index]));
+  }
+}
+
+void Scheduler::PlaceTask(Job& job, const TaskKey& key, Host& host) {
+  const StepSpec& step = job.spec().steps[key.step];
+  const RunNumber number =
+      step.gang && job.At(key.occurrence, key.step).tasks[0].placed()
+          ? job.At(key.occurrence, key.step).tasks[0].run
+          : job.NextRun(key);
+  Task& task = *job.Find(key);
+  job.Place(key, number, Placement{host.id(), host.incarnation}, m_clock.Now());
+  HostedRun run;
+  run.demand = step.demand;
+  run.image = step.image;
+  run.best_effort = step.best_effort;
+  run.serves = step.serves();
+  run.perpetual = step.perpetual;
+  run.job_version = job.version();
+  run.order = StartOrder{TaskRun{key, number},
+                         job.spec().payload,
+                         step.checkpoints ? task.checkpoint : CheckpointId(),
+                         {}};
+  host.runs.emplace(TaskRun{key, number}, std::move(run));
+  m_log({"run placed", TaskRun{key, number}, host.id(), {}});
+  Touched(job);
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/scheduler_reports.cc
@@ -0,0 +1,247 @@
+#include <algorithm>
+#include <set>
+
+#include "scheduling/scheduler.h"
+
+namespace zinniacart {
+namespace {
+
+const char* ToString(EndKind how) {
+  switch (how) {
+    case EndKind::kDone:
+      return "done";
+    case EndKind::kFailed:
+      return "failed";
+    case EndKind::kStopped:
+      return "stopped";
+    case EndKind::kLapsed:
+      return "lapsed";
+    case EndKind::kGangBroken:
+      return "gang broken";
+    case EndKind::kGangAlone:
+      return "gang alone";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void Scheduler::OnReport(const HostId& id, const HostReport& report) {
+  if (report.epoch != m_epoch) {
+    return;
+  }
+  Host& host = m_hosts.try_emplace(id, id).first->second;
+  if (report.agent == host.agent && report.sequence <= host.sequence) {
+    return;
+  }
+  AdoptAgent(host, report);
+  if (!report.incarnation) {
+    return;
+  }
+  AdoptIncarnation(host, report);
+  if (report.lease_lapsed) {
+    LapseRuns(host, "the agent reports that the lease has lapsed");
+  }
+  if (!report.listed) {
+    return;
+  }
+  host.listed = true;
+  HandleEnds(host, report);
+  HandleResults(host, report);
+  HandleRunning(host, report);
+  HandleAbsent(host, report);
+  AdvanceRecordedEnds(host);
+}
+
+void Scheduler::AdoptAgent(Host& host, const HostReport& report) {
+  const Instant now = m_clock.Now();
+  if (report.agent != host.agent) {
+    host.agent = report.agent;
+    host.has_orders = true;
+  }
+  host.sequence = report.sequence;
+  host.heard_at = now;
+  host.stamp = report.stamp;
+  host.stamp_received = now;
+  host.reachable = report.worker_reachable;
+  if (report.facts) {
+    host.facts = report.facts;
+  }
+}
+
+void Scheduler::AdoptIncarnation(Host& host, const HostReport& report) {
+  if (host.incarnation == *report.incarnation) {
+    return;
+  }
+  const bool first = host.incarnation == WorkerIncarnation();
+  host.incarnation = *report.incarnation;
+  host.pending_ends.clear();
+  host.processed_ends = 0;
+  host.recorded_ends = 0;
+  host.orphans.clear();
+  // Runs of another life of the worker ended with it.
+  const auto runs = host.runs;
+  for (const auto& [id, run] : runs) {
+    Job* job = FindJob(id.task.job);
+    const bool same_life =
+        first && job != nullptr &&
+        job->Find(id.task)->placement.incarnation == host.incarnation;
+    if (!same_life) {
+      DropRun(host, id, run.latest.checkpoint, false, "the worker restarted");
+    }
+  }
+}
+
+void Scheduler::HandleEnds(Host& host, const HostReport& report) {
+  for (const EndedTask& ended : report.ended) {
+    if (ended.number <= host.processed_ends) {
+      continue;
+    }
+    host.processed_ends = ended.number;
+    ApplyEnd(host, ended);
+    const Job* job = FindJob(ended.id.task.job);
+    host.pending_ends[ended.number] =
+        Host::PendingEnd{ended.id.task.job, job ? job->version() : 0};
+  }
+}
+
+void Scheduler::ApplyEnd(Host& host, const EndedTask& ended) {
+  if (!host.runs.contains(ended.id)) {
+    return;
+  }
+  m_log({"run ended", ended.id, host.id(), ToString(ended.how)});
+  Job* job = FindJob(ended.id.task.job);
+  if (job == nullptr || ended.how != EndKind::kDone) {
+    const bool failed = ended.how == EndKind::kFailed;
+    DropRun(host, ended.id, ended.checkpoint, failed, ToString(ended.how));
+    CountOutcome(host, ended.id, failed);
+    return;
+  }
+  host.runs.erase(ended.id);
+  CountOutcome(host, ended.id, false);
+  const bool was_active = job->active();
+  const StepSpec& step = job->spec().steps[ended.id.task.step];
+  if (step.perpetual) {
+    job->Release(ended.id.task, ended.checkpoint, false);
+  } else {
+    job->Finish(ended.id.task);
+  }
+  if (was_active || job->state() != JobState::kCancelled) {
+    Touched(*job);
+  }
+}
+
+void Scheduler::CountOutcome(Host& host, const TaskRun& id, bool failed) {
+  if (!failed) {
+    host.failures_in_row = 0;
+    return;
+  }
+  if (++host.failures_in_row >= m_settings.failures_to_quarantine) {
+    host.quarantined_until = m_clock.Now() + m_settings.quarantine;
+    host.failures_in_row = m_settings.failures_to_quarantine - 1;
+    m_log({"host quarantined", id, host.id(), "failures in a row"});
+  }
+}
+
+void Scheduler::HandleResults(Host& host, const HostReport& report) {
+  for (const OrderResult& result : report.results) {
+    const auto found = host.runs.find(result.id);
+    if (found == host.runs.end()) {
+      continue;
+    }
+    HostedRun& run = found->second;
+    switch (result.outcome) {
+      case OrderOutcome::kStarted:
+        if (!run.started) {
+          run.started = true;
+          run.started_at = m_clock.Now();
+        }
+        break;
+      case OrderOutcome::kStopped:
+        break;
+      case OrderOutcome::kRefused:
+      case OrderOutcome::kNoRoom:
+      case OrderOutcome::kNoTicket:
+        if (!run.started) {
+          DropRun(host, result.id, {}, false, "the worker refused it");
+        }
+        break;
+    }
+  }
+}
+
+void Scheduler::HandleRunning(Host& host, const HostReport& report) {
+  for (const RunningTask& running : report.running) {
+    const auto found = host.runs.find(running.id);
+    if (found == host.runs.end()) {
+      host.orphans.insert(running.id);
+      host.has_orders = true;
+      m_log({"orphan run", running.id, host.id(), "nobody placed it here"});
+      continue;
+    }
+    HostedRun& run = found->second;
+    if (!run.started) {
+      run.started = true;
+      run.started_at = m_clock.Now();
+    }
+    run.recovered = false;
+    run.ordered = true;
+    run.latest = running;
+  }
+}
+
+void Scheduler::HandleAbsent(Host& host, const HostReport& report) {
+  std::set<TaskRun> listed;
+  for (const RunningTask& running : report.running) {
+    listed.insert(running.id);
+  }
+  std::set<TaskRun> results;
+  for (const OrderResult& result : report.results) {
+    results.insert(result.id);
+  }
+  const auto runs = host.runs;
+  for (const auto& [id, run] : runs) {
+    if (listed.contains(id)) {
+      continue;
+    }
+    if (run.recovered) {
+      // Fenced: no older owner's order can reach the worker any more.
+      DropRun(host, id, run.latest.checkpoint, false, "not at the worker");
+    } else if (run.started || (run.stopping && results.contains(id))) {
+      DropRun(host, id, run.latest.checkpoint, false, "gone from the worker");
+    }
+  }
+}
+
+void Scheduler::LapseRuns(Host& host, const char* reason) {
+  const auto runs = host.runs;
+  for (const auto& [id, run] : runs) {
+    DropRun(host, id, run.latest.checkpoint, false, reason);
+  }
+}
+
+void Scheduler::DropRun(Host& host,
+                        const TaskRun& id,
+                        const CheckpointId& checkpoint,
+                        bool failed,
+                        const char* reason) {
+  host.runs.erase(id);
+  m_log({"run released", id, host.id(), reason});
+  Job* job = FindJob(id.task.job);
+  if (job == nullptr) {
+    return;
+  }
+  Task* task = job->Find(id.task);
+  if (task == nullptr || !task->placed() || task->run != id.run) {
+    return;
+  }
+  const bool was_active = job->active();
+  job->Release(id.task, checkpoint, failed);
+  Touched(*job);
+  if (was_active && !job->active()) {
+    m_log({"job failed", id, host.id(), "a task failed too often"});
+    StopTasksOf(*job);
+  }
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/scheduler_settings.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/clock.h"
+
+namespace zinniacart {
+
+/// Times of the placement protocol. Owner and agents must agree on them.
+struct LeaseTimes {
+  /// A worker's lease reaches this far beyond the granted stamp. Bounded by
+  /// the platform's longest lease; long enough to outlive a restart of all
+  /// daemons, short enough that the tasks of a host that is cut off are
+  /// placed anew while their job can still be in time.
+  Duration lease{6000};
+  /// The owner vouches for stamps only while its ownership was confirmed at
+  /// most this long ago; so long do tasks outlive an outage of the store
+  /// beyond the lease itself.
+  Duration confirmation{2500};
+  /// A start that is carried out later than this is refused by the worker.
+  Duration start_validity{1000};
+  /// Clocks may run this much slower than ours.
+  double slowest_clock = 1.02;
+  /// For rounding and for the time that a lapse takes.
+  Duration margin{300};
+
+  /// @returns how long after a granted stamp came in its host may still run
+  /// tasks.
+  Duration LapseTime() const {
+    return Duration(static_cast<std::int64_t>(
+               static_cast<double>(lease.count()) * slowest_clock)) +
+           margin;
+  }
+};
+
+/// Settings of the owner's decisions.
+struct SchedulerSettings {
+  LeaseTimes times;
+  /// An order that shows no effect is sent again after this time.
+  Duration redelivery{2000};
+  /// A host that has not been heard for this long gets no new work. Three
+  /// rounds of reports.
+  Duration silence{2500};
+  /// Ended jobs are forgotten after this time.
+  Duration remember_ended{240000};
+  /// Failures in a row of different jobs after which a host is suspected.
+  std::uint32_t failures_to_quarantine = 3;
+  Duration quarantine{4000};
+  /// A scheduled occurrence starts this long after its due time, so that a
+  /// clock that is ahead does not start it early.
+  Duration after_due{50};
+};
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/site/agent_node.cc
@@ -0,0 +1,168 @@
+#include "site/agent_node.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/logging.h"
+#include "scheduling/host_messages_codec.h"
+#include "site/peer_paths.h"
+#include "site/store_keys.h"
+
+namespace zinniacart {
+namespace {
+
+constexpr Duration kTick{100};
+constexpr Duration kRegisterTimeout{800};
+constexpr Duration kRegisterRetry{300};
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+
+}  // namespace
+
+AgentNode::AgentNode(boost::asio::io_context& loop,
+                     StorePort& store,
+                     WorkerPort& worker,
+                     AgentSiteSettings settings,
+                     const Clock& clock)
+    : m_loop(loop),
+      m_store(store),
+      m_worker(worker),
+      m_settings(std::move(settings)),
+      m_clock(clock),
+      m_supervisor(Incarnation(DrawRunNumber()), m_settings.supervisor, clock),
+      m_tick(loop),
+      m_register_retry(loop) {}
+
+Result<void> AgentNode::Start() {
+  m_peer_server = std::make_unique<net::HttpServer>(
+      m_loop, net::ServerLimits{},
+      [this](net::Request request, net::Responder respond) {
+        HandlePeer(std::move(request), std::move(respond));
+      });
+  const auto listening =
+      m_peer_server->Listen(m_settings.ip, m_settings.peer_port);
+  if (!listening) {
+    return tl::unexpected(listening.error());
+  }
+  Register();
+  Tick();
+  return {};
+}
+
+void AgentNode::Register() {
+  StoreTransaction transaction;
+  transaction.writes = {
+      StoreWrite{store_keys::Host(m_settings.host),
+                 m_settings.ip + ":" + std::to_string(m_settings.peer_port),
+                 {}}};
+  m_store.Commit(
+      transaction, kRegisterTimeout, [this](Result<StoreCommit> commit) {
+        if (!commit) {
+          m_register_retry.After(kRegisterRetry, [this] { Register(); });
+        }
+      });
+}
+
+void AgentNode::OnAnnouncement(const WorkerFacts& facts,
+                               std::uint64_t sequence) {
+  m_supervisor.OnAnnouncement(facts, sequence);
+  Pump();
+}
+
+void AgentNode::HandlePeer(net::Request request, net::Responder respond) {
+  if (request.target != peer_paths::kHostSync) {
+    return respond(net::Response{kNotFound, {}, {}});
+  }
+  const auto orders = DecodeHostOrders(request.body);
+  if (!orders) {
+    LogError("orders cannot be read", {{"detail", orders.error().detail}});
+    return respond(net::Response{kBadRequest, {}, {}});
+  }
+  const Epoch before = m_supervisor.epoch();
+  const auto accepted = m_supervisor.OnOrders(*orders);
+  if (!accepted) {
+    LogInfo("orders of an older owner refused",
+            {{"owner", orders->owner.value()},
+             {"detail", accepted.error().detail}});
+    return respond(net::Response{kConflict, {}, {}});
+  }
+  if (before != m_supervisor.epoch()) {
+    LogInfo("owner accepted", {{"owner", orders->owner.value()},
+                               {"epoch", orders->epoch.value()}});
+  }
+  m_waiting.push_back(
+      Waiting{std::move(respond), m_clock.Now() + orders->wait});
+  Pump();
+}
+
+void AgentNode::Pump() {
+  if (m_pumping) {
+    return;
+  }
+  m_pumping = true;
+  for (const WorkerCall& call : m_supervisor.TakeCalls()) {
+    std::visit([this](const auto& one) { Run(one); }, call);
+  }
+  m_pumping = false;
+  AnswerWaiting();
+}
+
+void AgentNode::Run(const HoldCall& call) {
+  m_worker.Hold(call, [this, call](Result<WorkerLists> lists) {
+    if (lists.has_value() != m_worker_answers) {
+      m_worker_answers = lists.has_value();
+      LogInfo(m_worker_answers ? "worker regained" : "worker lost",
+              {{"detail", lists ? std::string() : lists.error().detail}});
+    }
+    m_supervisor.OnHoldAnswered(call, lists);
+    Pump();
+  });
+}
+
+void AgentNode::Run(const StartCall& call) {
+  m_worker.Start(call, [this, call](StartAnswer answer) {
+    LogInfo("start answered", {{"task", call.order.id.task.ToString()},
+                               {"run", call.order.id.run.value()},
+                               {"answer", static_cast<int>(answer)}});
+    m_supervisor.OnStartAnswered(call, answer);
+    Pump();
+  });
+}
+
+void AgentNode::Run(const StopCall& call) {
+  m_worker.Stop(call, [this, call](bool answered) {
+    m_supervisor.OnStopAnswered(call, answered);
+    Pump();
+  });
+}
+
+void AgentNode::Run(const PaceCall& call) {
+  m_worker.Pace(call, [](bool) {});
+}
+
+void AgentNode::AnswerWaiting() {
+  if (m_waiting.empty()) {
+    return;
+  }
+  const Instant now = m_clock.Now();
+  const bool news = m_supervisor.news() != m_news_told;
+  m_news_told = m_supervisor.news();
+  for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+    if (!news && now < waiting->until) {
+      ++waiting;
+      continue;
+    }
+    auto respond = std::move(waiting->respond);
+    waiting = m_waiting.erase(waiting);
+    respond(net::Response{kOk, Encode(m_supervisor.MakeReport()), {}});
+  }
+}
+
+void AgentNode::Tick() {
+  Pump();
+  m_tick.After(kTick, [this] { Tick(); });
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/site/entry_directory.cc
@@ -0,0 +1,82 @@
+#include "site/entry_directory.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "base/logging.h"
+#include "site/store_keys.h"
+
+namespace zinniacart {
+
+std::string EncodeOwnerRecord(const OwnerRecord& record) {
+  return nlohmann::json{{"entry", record.entry.value()},
+                        {"address", record.address},
+                        {"epoch", record.epoch.value()}}
+      .dump();
+}
+
+Result<OwnerRecord> DecodeOwnerRecord(const std::string& bytes) {
+  try {
+    const auto row = nlohmann::json::parse(bytes);
+    return OwnerRecord{EntryId(row.at("entry").get<std::string>()),
+                       row.at("address"),
+                       Epoch(row.at("epoch").get<std::uint64_t>())};
+  } catch (const nlohmann::json::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument, error.what(), "owner record");
+  }
+}
+
+void EntryDirectory::OnSnapshot(const StoreSnapshot& snapshot) {
+  m_ownership = {};
+  m_entries.clear();
+  for (const StoreItem& item : snapshot.items) {
+    Apply(item);
+  }
+}
+
+void EntryDirectory::OnEvent(const StoreEvent& event) {
+  if (!event.deleted) {
+    return Apply(event.item);
+  }
+  if (event.item.key == store_keys::kOwner) {
+    m_ownership.owner.reset();
+    m_ownership.owner_revision = 0;
+  } else if (event.item.key.starts_with(store_keys::kEntryPrefix)) {
+    m_entries.erase(
+        EntryId(event.item.key.substr(store_keys::kEntryPrefix.size())));
+  }
+}
+
+void EntryDirectory::Apply(const StoreItem& item) {
+  if (item.key == store_keys::kOwner) {
+    const auto record = DecodeOwnerRecord(item.value);
+    if (!record) {
+      LogError("owner record cannot be read",
+               {{"detail", record.error().detail}});
+      return;
+    }
+    m_ownership.owner = *record;
+    m_ownership.owner_revision = item.revision;
+  } else if (item.key == store_keys::kEpoch) {
+    std::uint64_t epoch = 0;
+    std::from_chars(item.value.data(), item.value.data() + item.value.size(),
+                    epoch);
+    m_ownership.last_epoch = Epoch(epoch);
+    m_ownership.epoch_revision = item.revision;
+  } else if (item.key.starts_with(store_keys::kEntryPrefix)) {
+    m_entries[EntryId(item.key.substr(store_keys::kEntryPrefix.size()))] =
+        item.value;
+  }
+}
+
+std::vector<std::string> EntryDirectory::PeersOf(const EntryId& self) const {
+  std::vector<std::string> addresses;
+  for (const auto& [entry, address] : m_entries) {
+    if (entry != self) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/site/entry_directory.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "scheduling/ownership.h"
+#include "site/store_port.h"
+
+namespace zinniacart {
+
+/// Who the entries are and who owns the scheduling, as the store shows it.
+class EntryDirectory final {
+ public:
+  void OnSnapshot(const StoreSnapshot& snapshot);
+  void OnEvent(const StoreEvent& event);
+
+  /// @returns what the ownership decides on.
+  const OwnershipView& ownership() const { return m_ownership; }
+  /// @returns the owner, nothing while there is none.
+  const std::optional<OwnerRecord>& owner() const { return m_ownership.owner; }
+  /// @returns the addresses of all entries but `self`.
+  std::vector<std::string> PeersOf(const EntryId& self) const;
+
+ private:
+  void Apply(const StoreItem& item);
+
+  OwnershipView m_ownership;
+  std::map<EntryId, std::string> m_entries;
+};
+
+/// @returns the owner's record in its stored form.
+std::string EncodeOwnerRecord(const OwnerRecord& record);
+
+/// @returns the record, `kInvalidArgument` where the bytes hold none.
+Result<OwnerRecord> DecodeOwnerRecord(const std::string& bytes);
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/site/entry_node.cc
@@ -0,0 +1,172 @@
+#include "site/entry_node.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/logging.h"
+#include "site/peer_paths.h"
+#include "site/store_keys.h"
+
+namespace zinniacart {
+namespace {
+
+constexpr Duration kRegisterTimeout{800};
+constexpr Duration kRegisterRetry{300};
+/// Bounds a request that another entry relays; that entry waits a bit less.
+constexpr Duration kRelayedRequest{600};
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr int kTimeout = 504;
+
+int StatusOf(IntakeOutcome outcome) {
+  switch (outcome) {
+    case IntakeOutcome::kStored:
+      return kOk;
+    case IntakeOutcome::kNotFound:
+      return kGone;
+    case IntakeOutcome::kRefused:
+      return kUnavailable;
+    case IntakeOutcome::kUnknown:
+      return kTimeout;
+  }
+  return kTimeout;
+}
+
+/// @returns what follows `prefix` in the path, nothing where it does not
+/// begin with it.
+std::optional<std::string> After(const net::Request& request,
+                                 const std::string& prefix) {
+  if (!request.target.starts_with(prefix)) {
+    return std::nullopt;
+  }
+  return request.target.substr(prefix.size());
+}
+
+}  // namespace
+
+EntryNode::EntryNode(boost::asio::io_context& loop,
+                     StorePort& store,
+                     EntrySiteSettings settings,
+                     const Clock& clock)
+    : m_loop(loop),
+      m_store(store),
+      m_settings(std::move(settings)),
+      m_clock(clock),
+      m_peers(loop),
+      m_register_retry(loop) {
+  m_owner =
+      std::make_unique<Owner>(loop, store, m_peers, m_settings.owner, clock);
+  m_intake = std::make_unique<JobIntake>(loop, store, m_peers, m_directory,
+                                         *m_owner, m_settings.entry, clock);
+  m_entries = std::make_unique<PrefixFollower>(
+      loop, store, store_keys::kEntriesPrefix,
+      [this](const StoreSnapshot& snapshot) {
+        m_directory.OnSnapshot(snapshot);
+        m_owner->OnOwnershipView(m_directory.ownership());
+      },
+      [this](const StoreEvent& event) {
+        m_directory.OnEvent(event);
+        m_owner->OnOwnershipView(m_directory.ownership());
+      });
+}
+
+Result<void> EntryNode::Start() {
+  m_peer_server = std::make_unique<net::HttpServer>(
+      m_loop, net::ServerLimits{},
+      [this](net::Request request, net::Responder respond) {
+        HandlePeer(std::move(request), std::move(respond));
+      });
+  const auto listening =
+      m_peer_server->Listen(m_settings.ip, m_settings.peer_port);
+  if (!listening) {
+    return tl::unexpected(listening.error());
+  }
+  m_entries->Start();
+  m_owner->Start();
+  Register();
+  return {};
+}
+
+void EntryNode::Register() {
+  StoreTransaction transaction;
+  transaction.writes = {StoreWrite{
+      store_keys::Entry(m_settings.entry), m_settings.owner.address, {}}};
+  m_store.Commit(
+      transaction, kRegisterTimeout, [this](Result<StoreCommit> commit) {
+        if (!commit) {
+          m_register_retry.After(kRegisterRetry, [this] { Register(); });
+        }
+      });
+}
+
+void EntryNode::OnConfiguration(SiteConfiguration configuration) {
+  if (m_configuration && configuration.version <= m_configuration->version) {
+    return;
+  }
+  LogInfo("configuration in force", {{"version", configuration.version}});
+  m_owner->OnConfiguration(configuration);
+  m_configuration = std::move(configuration);
+}
+
+void EntryNode::OnEvacuated(std::set<DomainId> domains) {
+  m_owner->OnEvacuated(domains);
+}
+
+void EntryNode::Retire(std::function<void()> done) {
+  m_owner->Retire(std::move(done));
+}
+
+void EntryNode::HandlePeer(net::Request request, net::Responder respond) {
+  if (request.target.starts_with("/entry/")) {
+    return HandleStoreRequest(request, std::move(respond));
+  }
+  HandleQuestion(request, std::move(respond));
+}
+
+void EntryNode::HandleStoreRequest(const net::Request& request,
+                                   net::Responder respond) {
+  const Instant until = m_clock.Now() + kRelayedRequest;
+  const auto answer = [respond](IntakeOutcome outcome) {
+    respond(net::Response{StatusOf(outcome), {}, {}});
+  };
+  if (const auto id = After(request, peer_paths::kStoreJob)) {
+    const auto record = DecodeJobRecord(JobId(*id), request.body);
+    if (!record) {
+      LogError("relayed job cannot be read",
+               {{"job", *id}, {"detail", record.error().detail}});
+      return respond(net::Response{kUnavailable, {}, {}});
+    }
+    return m_intake->Accept(*record, until, false, answer);
+  }
+  if (const auto id = After(request, peer_paths::kCancelJob)) {
+    return m_intake->Cancel(JobId(*id), until, false, answer);
+  }
+  respond(net::Response{kNotFound, {}, {}});
+}
+
+void EntryNode::HandleQuestion(const net::Request& request,
+                               net::Responder respond) {
+  if (request.target.starts_with(peer_paths::kJobStored) ||
+      request.target.starts_with(peer_paths::kJobCancelled)) {
+    if (m_owner->active()) {
+      m_owner->OnNotice(request.target, request.body);
+    }
+    return respond(net::Response{kOk, {}, {}});
+  }
+  if (const auto id = After(request, peer_paths::kJobState)) {
+    const auto state = m_owner->StateOf(JobId(*id), QueueId(request.body));
+    return respond(state ? net::Response{kOk, ToString(*state), {}}
+                         : net::Response{kUnavailable, {}, {}});
+  }
+  if (request.target == peer_paths::kWaitingJobs) {
+    const auto count = m_owner->CountWaiting(QueueId(request.body));
+    return respond(count ? net::Response{kOk, std::to_string(*count), {}}
+                         : net::Response{kUnavailable, {}, {}});
+  }
+  respond(net::Response{kNotFound, {}, {}});
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/site/job_intake.cc
@@ -0,0 +1,311 @@
+#include "site/job_intake.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/logging.h"
+#include "site/peer_paths.h"
+#include "site/store_keys.h"
+
+namespace zinniacart {
+namespace {
+
+/// The store answers in milliseconds; a first answer that is this late is
+/// more likely lost than slow.
+constexpr Duration kFirstAttempt{350};
+/// Later attempts allow for a store that is slow.
+constexpr Duration kLaterAttempt{900};
+constexpr Duration kBetweenAttempts{50};
+constexpr Duration kRelayTimeout{600};
+constexpr Duration kAskOwner{400};
+constexpr Duration kReadTimeout{700};
+/// A caller gets its answer this long before it stops waiting.
+constexpr Duration kAnswerMargin{200};
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+
+IntakeOutcome ToOutcome(int status) {
+  if (status == kOk) {
+    return IntakeOutcome::kStored;
+  }
+  if (status == kGone) {
+    return IntakeOutcome::kNotFound;
+  }
+  return IntakeOutcome::kUnknown;
+}
+
+JobState ParseState(const std::string& text) {
+  for (const JobState state :
+       {JobState::kQueued, JobState::kRunning, JobState::kCompleted,
+        JobState::kFailed, JobState::kCancelled}) {
+    if (text == ToString(state)) {
+      return state;
+    }
+  }
+  return JobState::kQueued;
+}
+
+}  // namespace
+
+struct JobIntake::Change {
+  JobId job;
+  StoreTransaction transaction;
+  std::string relay_path;
+  std::string body;
+  std::string notice_path;
+  Instant until;
+  bool relay = false;
+  bool uncertain = false;
+  int attempts = 0;
+  OutcomeCallback done;
+  std::unique_ptr<Timer> pause;
+};
+
+JobIntake::JobIntake(boost::asio::io_context& loop,
+                     StorePort& store,
+                     PeerClients& peers,
+                     const EntryDirectory& directory,
+                     Owner& owner,
+                     EntryId self,
+                     const Clock& clock)
+    : m_loop(loop),
+      m_store(store),
+      m_peers(peers),
+      m_directory(directory),
+      m_owner(owner),
+      m_self(std::move(self)),
+      m_clock(clock) {}
+
+void JobIntake::Accept(const JobRecord& record,
+                       Instant until,
+                       bool relay,
+                       OutcomeCallback done) {
+  auto change = std::make_shared<Change>();
+  change->job = record.id;
+  change->body = EncodeJobRecord(record);
+  const std::string key = store_keys::Job(record.id);
+  change->transaction.conditions = {StoreCondition{key, 0}};
+  change->transaction.writes = {StoreWrite{key, change->body, {}}};
+  change->relay_path = peer_paths::kStoreJob + record.id.value();
+  change->notice_path = peer_paths::kJobStored + record.id.value();
+  change->until = until - kAnswerMargin;
+  change->relay = relay;
+  change->done = std::move(done);
+  Attempt(std::move(change));
+}
+
+void JobIntake::Cancel(const JobId& job,
+                       Instant until,
+                       bool relay,
+                       OutcomeCallback done) {
+  auto change = std::make_shared<Change>();
+  change->job = job;
+  const std::string key = store_keys::Cancelled(job);
+  change->transaction.conditions = {StoreCondition{key, 0}};
+  change->transaction.writes = {StoreWrite{key, "1", {}}};
+  change->relay_path = peer_paths::kCancelJob + job.value();
+  change->notice_path = peer_paths::kJobCancelled + job.value();
+  change->until = until - kAnswerMargin;
+  change->relay = relay;
+  change->done = std::move(done);
+  m_store.Get(store_keys::Job(job), kReadTimeout,
+              [this, change](Result<StoreItem> item) {
+                if (!item && item.error().code == ErrorCode::kNotFound) {
+                  return Finish(change, IntakeOutcome::kNotFound);
+                }
+                if (!item) {
+                  return Relay(change, 0);
+                }
+                Attempt(change);
+              });
+}
+
+void JobIntake::Attempt(ChangePointer change) {
+  const Duration left = change->until - m_clock.Now();
+  if (left.count() <= 0) {
+    return GiveUp(change);
+  }
+  const Duration timeout =
+      std::min(left, change->attempts++ == 0 ? kFirstAttempt : kLaterAttempt);
+  m_store.Commit(change->transaction, timeout,
+                 [this, change](Result<StoreCommit> commit) {
+                   OnCommitted(change, commit);
+                 });
+}
+
+void JobIntake::OnCommitted(ChangePointer change,
+                            const Result<StoreCommit>& commit) {
+  if (commit) {
+    // Where the condition failed the key exists: an earlier request, or an
+    // earlier attempt of this one, has stored it.
+    return Finish(change, IntakeOutcome::kStored);
+  }
+  if (commit.error().code != ErrorCode::kOutcomeUnknown) {
+    return Relay(change, 0);
+  }
+  change->uncertain = true;
+  Relay(change, 0);
+}
+
+void JobIntake::Relay(ChangePointer change, std::size_t peer) {
+  const auto peers = m_directory.PeersOf(m_self);
+  const Duration left = change->until - m_clock.Now();
+  if (!change->relay || peer >= peers.size() || left.count() <= 0) {
+    return GiveUp(change);
+  }
+  m_peers.Post(peers[peer], change->relay_path, change->body,
+               std::min(left, kRelayTimeout),
+               [this, change, peer](Result<net::Response> response) {
+                 const bool refused = response && response->status != kOk &&
+                                      response->status != kGone &&
+                                      response->status != 504;
+                 if (response && !refused) {
+                   const IntakeOutcome outcome = ToOutcome(response->status);
+                   if (outcome != IntakeOutcome::kUnknown) {
+                     return Finish(change, outcome);
+                   }
+                 }
+                 if (!refused && !(!response && response.error().code ==
+                                                    ErrorCode::kUnreachable)) {
+                   change->uncertain = true;
+                 }
+                 Relay(change, peer + 1);
+               });
+}
+
+void JobIntake::GiveUp(ChangePointer change) {
+  if (change->uncertain && change->until - m_clock.Now() > kBetweenAttempts) {
+    // Only the store can tell what became of it.
+    change->pause = std::make_unique<Timer>(m_loop);
+    return change->pause->After(kBetweenAttempts,
+                                [this, change] { Attempt(change); });
+  }
+  Finish(change,
+         change->uncertain ? IntakeOutcome::kUnknown : IntakeOutcome::kRefused);
+}
+
+void JobIntake::Finish(ChangePointer change, IntakeOutcome outcome) {
+  if (outcome == IntakeOutcome::kStored) {
+    TellOwner(change->notice_path, change->body);
+  }
+  if (change->done) {
+    std::exchange(change->done, nullptr)(outcome);
+  }
+}
+
+void JobIntake::TellOwner(const std::string& path, const std::string& body) {
+  if (m_owner.active()) {
+    return m_owner.OnNotice(path, body);
+  }
+  const auto& owner = m_directory.owner();
+  if (!owner) {
+    return;
+  }
+  m_peers.Post(owner->address, path, body, kAskOwner,
+               [path](Result<net::Response> response) {
+                 if (!response) {
+                   LogInfo(
+                       "owner was not told",
+                       {{"path", path}, {"reason", response.error().detail}});
+                 }
+               });
+}
+
+void JobIntake::GetState(const JobId& job,
+                         const QueueId& queue,
+                         std::function<void(Result<JobState>)> done) {
+  if (const auto state = m_owner.StateOf(job, queue)) {
+    return done(*state);
+  }
+  const auto& owner = m_directory.owner();
+  if (m_owner.active() || !owner || owner->entry == m_self) {
+    return ReadState(job, queue, std::move(done));
+  }
+  m_peers.Post(owner->address, peer_paths::kJobState + job.value(),
+               queue.value(), kAskOwner,
+               [this, job, queue, done](Result<net::Response> response) {
+                 if (response && response->status == kOk) {
+                   return done(ParseState(response->body));
+                 }
+                 ReadState(job, queue, done);
+               });
+}
+
+void JobIntake::ReadState(const JobId& job,
+                          const QueueId& queue,
+                          std::function<void(Result<JobState>)> done) {
+  m_store.Get(
+      store_keys::Job(job), kReadTimeout,
+      [this, job, queue, done](Result<StoreItem> item) {
+        if (!item) {
+          return done(tl::unexpected(item.error()));
+        }
+        const auto record = DecodeJobRecord(job, item->value);
+        if (!record) {
+          return done(tl::unexpected(record.error()));
+        }
+        if (record->queue != queue) {
+          return done(Fail(ErrorCode::kNotFound, "job is in another queue"));
+        }
+        ReadProgress(job, done);
+      });
+}
+
+void JobIntake::ReadProgress(const JobId& job,
+                             std::function<void(Result<JobState>)> done) {
+  m_store.Get(
+      store_keys::Progress(job), kReadTimeout,
+      [this, job, done](Result<StoreItem> progress) {
+        JobState state = JobState::kQueued;
+        if (progress) {
+          const auto row =
+              nlohmann::json::parse(progress->value, nullptr, false);
+          state = row.is_object() ? ParseState(row.value("state", "queued"))
+                                  : JobState::kQueued;
+        } else if (progress.error().code != ErrorCode::kNotFound) {
+          return done(tl::unexpected(progress.error()));
+        }
+        if (IsTerminal(state)) {
+          return done(state);
+        }
+        m_store.Get(store_keys::Cancelled(job), kReadTimeout,
+                    [state, done](Result<StoreItem> cancelled) {
+                      if (cancelled) {
+                        return done(JobState::kCancelled);
+                      }
+                      if (cancelled.error().code != ErrorCode::kNotFound) {
+                        return done(tl::unexpected(cancelled.error()));
+                      }
+                      done(state);
+                    });
+      });
+}
+
+void JobIntake::CountWaiting(const QueueId& queue,
+                             std::function<void(Result<std::size_t>)> done) {
+  if (const auto count = m_owner.CountWaiting(queue)) {
+    return done(*count);
+  }
+  const auto& owner = m_directory.owner();
+  if (!owner || owner->entry == m_self) {
+    return done(Fail(ErrorCode::kStoreUnavailable, "no owner is known"));
+  }
+  m_peers.Post(owner->address, peer_paths::kWaitingJobs, queue.value(),
+               kAskOwner, [done](Result<net::Response> response) {
+                 std::size_t count = 0;
+                 if (!response || response->status != kOk ||
+                     std::from_chars(
+                         response->body.data(),
+                         response->body.data() + response->body.size(), count)
+                             .ec != std::errc()) {
+                   return done(Fail(ErrorCode::kStoreUnavailable,
+                                    "the owner did not answer"));
+                 }
+                 done(count);
+               });
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/site/owner.cc
@@ -0,0 +1,355 @@
+#include "site/owner.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/logging.h"
+#include "site/entry_directory.h"
+#include "site/peer_paths.h"
+#include "site/store_keys.h"
+
+namespace zinniacart {
+namespace {
+
+constexpr Duration kTick{50};
+constexpr Duration kStoreTimeout{700};
+/// A renewal that takes longer may come too late for the lease.
+constexpr Duration kRenewTimeout{600};
+constexpr Duration kListTimeout{1500};
+
+Scheduler::DecisionLog LogDecisions() {
+  return [](const DecisionEvent& event) {
+    nlohmann::json fields;
+    if (!event.run.task.job.value().empty()) {
+      fields["job"] = event.run.task.job.value();
+    }
+    if (event.run.run != RunNumber()) {
+      fields["task"] = event.run.task.ToString();
+      fields["run"] = event.run.run.value();
+    }
+    if (!event.host.value().empty()) {
+      fields["host"] = event.host.value();
+    }
+    if (!event.detail.empty()) {
+      fields["detail"] = event.detail;
+    }
+    LogInfo(event.name, fields);
+  };
+}
+
+}  // namespace
+
+Owner::Owner(boost::asio::io_context& loop,
+             StorePort& store,
+             PeerClients& peers,
+             OwnerSettings settings,
+             const Clock& clock)
+    : m_loop(loop),
+      m_store(store),
+      m_peers(peers),
+      m_settings(std::move(settings)),
+      m_clock(clock),
+      m_ownership(m_settings.self,
+                  m_settings.ownership,
+                  m_settings.standby_delay,
+                  clock),
+      m_scheduler(m_settings.scheduler, clock, LogDecisions()),
+      m_tick(loop),
+      m_round(loop),
+      m_write_retry(loop) {}
+
+void Owner::Start() {
+  Tick();
+}
+
+void Owner::Tick() {
+  TakeStep();
+  if (m_loaded) {
+    m_scheduler.OnTick();
+    Kick();
+  }
+  m_tick.After(kTick, [this] { Tick(); });
+}
+
+void Owner::Retire(std::function<void()> done) {
+  m_retired = true;
+  const bool owner = m_ownership.owner();
+  const LeaseId lease = m_ownership.lease();
+  m_ownership.Retire();
+  m_tick.Cancel();
+  if (!owner) {
+    return done();
+  }
+  Lose("this entry stops");
+  m_store.EndLease(lease, kStoreTimeout,
+                   [done](const Result<Duration>&) { done(); });
+}
+
+void Owner::OnOwnershipView(const OwnershipView& view) {
+  const bool replaced =
+      m_ownership.owner() && view.last_epoch > m_ownership.epoch();
+  if (replaced) {
+    Lose("another entry has claimed the ownership");
+  }
+  m_ownership.OnView(view);
+  TakeStep();
+}
+
+void Owner::TakeStep() {
+  std::visit(
+      [this](const auto& step) {
+        if constexpr (!std::is_same_v<std::decay_t<decltype(step)>, WaitStep>) {
+          Run(step);
+        }
+      },
+      m_ownership.Next());
+}
+
+void Owner::Run(const ReadViewStep&) {
+  m_store.List(store_keys::kEntriesPrefix, kStoreTimeout,
+               [this](Result<StoreSnapshot> snapshot) {
+                 if (!snapshot) {
+                   return m_ownership.OnFailed();
+                 }
+                 EntryDirectory directory;
+                 directory.OnSnapshot(*snapshot);
+                 m_ownership.OnViewRead(directory.ownership());
+                 TakeStep();
+               });
+}
+
+void Owner::Run(const OpenLeaseStep& step) {
+  m_store.OpenLease(step.ttl, kStoreTimeout, [this](Result<LeaseId> lease) {
+    if (!lease) {
+      return m_ownership.OnFailed();
+    }
+    m_ownership.OnLeaseOpened(*lease);
+    TakeStep();
+  });
+}
+
+void Owner::Run(const ClaimStep& step) {
+  const Epoch epoch = step.view.last_epoch.Next();
+  const OwnerRecord record{m_settings.self, m_settings.address, epoch};
+  StoreTransaction claim;
+  claim.conditions = {
+      StoreCondition{store_keys::kOwner, step.view.owner_revision},
+      StoreCondition{store_keys::kEpoch, step.view.epoch_revision}};
+  claim.writes = {
+      StoreWrite{store_keys::kOwner, EncodeOwnerRecord(record), step.lease},
+      StoreWrite{store_keys::kEpoch, std::to_string(epoch.value()), {}}};
+  m_store.Commit(claim, kStoreTimeout,
+                 [this, step](Result<StoreCommit> commit) {
+                   OnClaimAnswered(step, commit);
+                 });
+}
+
+void Owner::OnClaimAnswered(const ClaimStep& step,
+                            const Result<StoreCommit>& commit) {
+  if (m_retired) {
+    return;
+  }
+  if (!commit || !commit->committed) {
+    // Whatever became of it, the next attempt begins with a fresh view.
+    m_ownership.OnLost();
+    return m_ownership.OnFailed();
+  }
+  m_ownership.OnClaimed(step.view.last_epoch.Next(), commit->revision);
+  LogInfo("ownership gained", {{"epoch", m_ownership.epoch().value()}});
+  BeginTerm();
+}
+
+void Owner::Run(const RenewStep& step) {
+  m_store.RenewLease(
+      step.lease, kRenewTimeout,
+      [this, lease = step.lease](Result<Duration> renewed) {
+        if (!m_ownership.owner() || m_ownership.lease() != lease) {
+          return;
+        }
+        if (renewed) {
+          return m_ownership.OnRenewed();
+        }
+        if (renewed.error().code == ErrorCode::kNotFound) {
+          return Lose("the lease has ended");
+        }
+        m_ownership.OnFailed();
+      });
+}
+
+void Owner::Lose(const char* reason) {
+  LogInfo("ownership lost",
+          {{"epoch", m_ownership.epoch().value()}, {"reason", reason}});
+  m_ownership.OnLost();
+  m_loaded = false;
+  m_writing = false;
+  m_term.reset();
+  m_work.reset();
+  // The caller may be one of the links.
+  boost::asio::post(m_loop, [links = std::move(m_links)] {});
+  m_links.clear();
+  m_progress.reset();
+  m_round.Cancel();
+  m_write_retry.Cancel();
+}
+
+void Owner::BeginTerm() {
+  m_term = std::make_shared<int>(0);
+  m_scheduler.Begin(m_ownership.epoch(), m_settings.self);
+  m_writing = false;
+  LoadProgress();
+}
+
+void Owner::LoadProgress() {
+  m_store.List(
+      store_keys::kProgressPrefix, kListTimeout,
+      [this,
+       term = std::weak_ptr<int>(m_term)](Result<StoreSnapshot> progress) {
+        if (term.expired()) {
+          return;
+        }
+        if (!progress) {
+          return m_write_retry.After(kTick, [this] { LoadProgress(); });
+        }
+        m_progress = std::move(*progress);
+        m_work = std::make_unique<PrefixFollower>(
+            m_loop, m_store, store_keys::kWorkPrefix,
+            [this](const StoreSnapshot& snapshot) { OnWorkSnapshot(snapshot); },
+            [this](const StoreEvent& event) { OnWorkEvent(event); });
+        m_work->Start();
+      });
+}
+
+void Owner::OnWorkSnapshot(const StoreSnapshot& snapshot) {
+  for (const StoreItem& item : snapshot.items) {
+    if (item.key.starts_with(store_keys::kJobPrefix)) {
+      ApplyWork(item);
+    }
+  }
+  if (m_progress) {
+    FinishLoading();
+  }
+  for (const StoreItem& item : snapshot.items) {
+    if (!item.key.starts_with(store_keys::kJobPrefix)) {
+      ApplyWork(item);
+    }
+  }
+  m_loaded = true;
+  Kick();
+}
+
+void Owner::FinishLoading() {
+  for (const StoreItem& item : m_progress->items) {
+    const JobId job(item.key.substr(store_keys::kProgressPrefix.size()));
+    const auto restored =
+        m_scheduler.RestoreProgress(job, item.value, item.revision);
+    if (!restored) {
+      LogError("progress cannot be restored",
+               {{"job", job.value()}, {"detail", restored.error().detail}});
+    }
+  }
+  LogInfo("scheduling loaded", {{"epoch", m_ownership.epoch().value()},
+                                {"jobs", m_scheduler.jobs().size()}});
+  m_progress.reset();
+}
+
+void Owner::OnWorkEvent(const StoreEvent& event) {
+  if (!event.deleted) {
+    ApplyWork(event.item);
+    Kick();
+  }
+}
+
+void Owner::ApplyWork(const StoreItem& item) {
+  if (item.key.starts_with(store_keys::kJobPrefix)) {
+    OnNotice(
+        peer_paths::kJobStored + item.key.substr(store_keys::kJobPrefix.size()),
+        item.value);
+  } else if (item.key.starts_with(store_keys::kCancelledPrefix)) {
+    m_scheduler.CancelJob(
+        JobId(item.key.substr(store_keys::kCancelledPrefix.size())));
+  } else if (item.key.starts_with(store_keys::kHostPrefix)) {
+    AddLink(HostId(item.key.substr(store_keys::kHostPrefix.size())),
+            item.value);
+  }
+}
+
+void Owner::OnNotice(const std::string& path, const std::string& body) {
+  if (path.starts_with(peer_paths::kJobCancelled)) {
+    m_scheduler.CancelJob(JobId(path.substr(peer_paths::kJobCancelled.size())));
+    return Kick();
+  }
+  const JobId id(path.substr(peer_paths::kJobStored.size()));
+  const auto record = DecodeJobRecord(id, body);
+  if (!record) {
+    LogError("job record cannot be read",
+             {{"job", id.value()}, {"detail", record.error().detail}});
+    return;
+  }
+  const auto age = WallClockMilliseconds() - record->accepted_at_ms;
+  m_scheduler.AddJob(*record, Duration(std::max<std::int64_t>(age, 0)));
+  if (m_loaded) {
+    Kick();
+  }
+}
+
+void Owner::AddLink(const HostId& host, const std::string& address) {
+  auto& link = m_links[host];
+  if (link && link->address() == address) {
+    return;
+  }
+  m_scheduler.AddHost(host);
+  HostLink::Events events;
+  events.take_orders = [this](const HostId& id) {
+    return m_scheduler.TakeOrders(id, Vouches());
+  };
+  events.on_report = [this](const HostId& id, const HostReport& report) {
+    m_scheduler.OnReport(id, report);
+    Kick();
+  };
+  events.on_lost = [this](const HostId& id) { m_scheduler.OnOrdersLost(id); };
+  events.on_stale = [this](const HostId&) {
+    Lose("an agent knows a newer owner");
+  };
+  link = std::make_unique<HostLink>(m_loop, m_peers, host, address,
+                                    std::move(events));
+  link->Start();
+}
+
+bool Owner::Vouches() const {
+  return m_ownership.ConfirmedWithin(m_settings.scheduler.times.confirmation);
+}
+
+void Owner::OnConfiguration(const SiteConfiguration& configuration) {
+  m_scheduler.SetConfiguration(configuration);
+}
+
+void Owner::OnEvacuated(const std::set<DomainId>& domains) {
+  m_scheduler.SetEvacuated(domains);
+  if (m_loaded) {
+    Kick();
+  }
+}
+
+std::optional<JobState> Owner::StateOf(const JobId& job,
+                                       const QueueId& queue) const {
+  if (!m_loaded || !Vouches()) {
+    return std::nullopt;
+  }
+  const auto found = m_scheduler.jobs().find(job);
+  if (found == m_scheduler.jobs().end() ||
+      found->second->record().queue != queue) {
+    return std::nullopt;
+  }
+  return found->second->visible_state();
+}
+
+std::optional<std::size_t> Owner::CountWaiting(const QueueId& queue) const {
+  if (!m_loaded || !Vouches()) {
+    return std::nullopt;
+  }
+  return m_scheduler.CountWaiting(queue);
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/site/prefix_follower.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "site/store_port.h"
+#include "site/timer.h"
+
+namespace zinniacart {
+
+/// Follows all keys with one prefix: a whole listing first and whenever the
+/// store's history does not reach back, single changes otherwise.
+class PrefixFollower final {
+ public:
+  using SnapshotHandler = std::function<void(const StoreSnapshot&)>;
+  using EventHandler = std::function<void(const StoreEvent&)>;
+  /// Told whenever the store answers or stops answering.
+  using HealthHandler = std::function<void(bool answering)>;
+
+  PrefixFollower(boost::asio::io_context& loop,
+                 StorePort& store,
+                 std::string prefix,
+                 SnapshotHandler on_snapshot,
+                 EventHandler on_event,
+                 HealthHandler on_health = nullptr);
+  ~PrefixFollower();
+
+  void Start();
+  void Stop();
+
+  bool synchronized() const { return m_synchronized; }
+
+ private:
+  void List();
+  void Watch();
+  void RetryLater(const Error& error);
+  void ReportHealth(bool answering);
+
+  StorePort& m_store;
+  const std::string m_prefix;
+  const SnapshotHandler m_on_snapshot;
+  const EventHandler m_on_event;
+  const HealthHandler m_on_health;
+  Timer m_retry;
+  /// Replies to calls of an earlier `Start` are ignored.
+  std::shared_ptr<int> m_life;
+  std::uint64_t m_as_of = 0;
+  bool m_synchronized = false;
+  bool m_answering = true;
+};
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/site/store_keys.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+
+namespace zinniacart::store_keys {
+
+/// What every entry follows: who owns the scheduling and who the entries are.
+inline const std::string kEntriesPrefix = "zinniacart/entries/";
+inline const std::string kOwner = kEntriesPrefix + "owner";
+inline const std::string kEpoch = kEntriesPrefix + "epoch";
+inline const std::string kEntryPrefix = kEntriesPrefix + "at/";
+
+/// What the owner follows: jobs, cancellations, hosts.
+inline const std::string kWorkPrefix = "zinniacart/work/";
+inline const std::string kJobPrefix = kWorkPrefix + "jobs/";
+inline const std::string kCancelledPrefix = kWorkPrefix + "cancelled/";
+inline const std::string kHostPrefix = kWorkPrefix + "hosts/";
+
+/// What only the owner writes.
+inline const std::string kProgressPrefix = "zinniacart/progress/";
+
+inline std::string Entry(const EntryId& entry) {
+  return kEntryPrefix + entry.value();
+}
+inline std::string Job(const JobId& job) {
+  return kJobPrefix + job.value();
+}
+inline std::string Cancelled(const JobId& job) {
+  return kCancelledPrefix + job.value();
+}
+inline std::string Host(const HostId& host) {
+  return kHostPrefix + host.value();
+}
+inline std::string Progress(const JobId& job) {
+  return kProgressPrefix + job.value();
+}
+
+}  // namespace zinniacart::store_keys
