Pace best-effort work beside serving tasks; let holds wait while ends are recorded

Ruled out: the serving tasks' own load (the rule counts only what fills beside them).

Change: HostPacing (quick down, slow up), placement keeps best-effort work off hosts under pressure, a hold does not wait while ends are unrecorded and comes again when they are, paces are sent until the worker answers.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -47,7 +47,10 @@
   if (!m_incarnation || orders.incarnation != *m_incarnation) {
     return {};
   }
-  m_recorded_ends = std::max(m_recorded_ends, orders.recorded_ends);
+  if (orders.recorded_ends > m_recorded_ends) {
+    m_recorded_ends = orders.recorded_ends;
+    m_urgent_hold = true;
+  }
   for (const StartOrder& order : orders.starts) {
     m_starts.try_emplace(order.id, Start{order, {}, {}, {}, {}});
   }
@@ -56,7 +59,7 @@
     stop.answered = false;
   }
   for (const PaceOrder& pace : orders.paces) {
-    m_paces[pace.id] = pace;
+    m_paces[pace.id] = Pace{pace, false};
   }
   return {};
 }
@@ -180,9 +183,8 @@
   Start& start = found->second;
   switch (answer) {
     case StartAnswer::kStarted:
-      m_running[call.order.id] =
-          Listed{RunningTask{call.order.id, call.order.resume_from, 100, 0},
-                 ++m_events};
+      m_running[call.order.id] = Listed{
+          RunningTask{call.order.id, call.order.resume_from, 0, 0}, ++m_events};
       Resolve(start, OrderOutcome::kStarted);
       break;
     case StartAnswer::kNoRoom:
@@ -221,6 +223,19 @@
   }
 }
 
+void HostSupervisor::OnPaceAnswered(const PaceCall& call, bool answered) {
+  const auto found = m_paces.find(call.order.id);
+  if (found == m_paces.end() ||
+      found->second.order.percent != call.order.percent) {
+    return;
+  }
+  if (answered || !m_running.contains(call.order.id)) {
+    m_paces.erase(found);
+  } else {
+    found->second.sent = false;
+  }
+}
+
 std::vector<WorkerCall> HostSupervisor::TakeCalls() {
   ForgetOldResults();
   std::vector<WorkerCall> calls;
@@ -244,10 +259,12 @@
     calls.emplace_back(
         StartCall{start.order, worker(), m_epoch, start.not_after});
   }
-  for (const auto& [id, pace] : m_paces) {
-    calls.emplace_back(PaceCall{pace, worker(), m_epoch});
+  for (auto& [id, pace] : m_paces) {
+    if (!pace.sent && m_reachable) {
+      pace.sent = true;
+      calls.emplace_back(PaceCall{pace.order, worker(), m_epoch});
+    }
   }
-  m_paces.clear();
   if (auto hold = NextHold()) {
     calls.emplace_back(std::move(*hold));
   }
@@ -265,8 +282,12 @@
   call.token = m_epoch;
   call.recorded_ends = m_recorded_ends;
   // The first call of a connection's life must not wait: nothing is known yet.
-  call.wait =
-      m_urgent_hold || !m_reachable ? Duration(0) : m_settings.hold_wait;
+  // A worker that lists ends does not wait for further ones.
+  const bool ends_listed =
+      !m_ended.empty() && m_ended.back().number > m_recorded_ends;
+  call.wait = m_urgent_hold || !m_reachable || ends_listed
+                  ? Duration(0)
+                  : m_settings.hold_wait;
   if (const auto until = LeaseUntil()) {
     call.lease_until = *until;
   }
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -46,6 +46,8 @@
   /// @param answered whether the worker took the stop.
   void OnStopAnswered(const StopCall& call, bool answered);
 
+  void OnPaceAnswered(const PaceCall& call, bool answered);
+
   /// @returns the calls that are due, each once.
   std::vector<WorkerCall> TakeCalls();
 
@@ -73,6 +75,10 @@
     bool answered = false;
     Instant answered_at;
   };
+  struct Pace {
+    PaceOrder order;
+    bool sent = false;
+  };
   struct Listed {
     RunningTask task;
     std::uint64_t known_from = 0;  ///< Number of the event that told of it.
@@ -116,7 +122,7 @@
 
   std::map<TaskRun, Start> m_starts;
   std::map<TaskRun, Stop> m_stops;
-  std::map<TaskRun, PaceOrder> m_paces;
+  std::map<TaskRun, Pace> m_paces;
   std::map<TaskRun, Listed> m_running;
   std::vector<EndedTask> m_ended;
   std::uint64_t m_recorded_ends = 0;
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -11,6 +11,7 @@
 #include "base/resources.h"
 #include "jobs/job_spec.h"
 #include "scheduling/host_messages.h"
+#include "scheduling/host_pacing.h"
 
 namespace zinniacart {
 
@@ -20,6 +21,9 @@
   std::string image;
   bool best_effort = false;
   bool serves = false;
+  Duration latency_target{0};
+  int wanted_percent = 100;  ///< The share of its speed it may work at.
+  bool pace_waits = false;   ///< It has not been sent yet.
   bool perpetual = false;
   /// Version of the job that must be written before the start is ordered.
   std::uint64_t job_version = 0;
@@ -70,6 +74,8 @@
   std::uint64_t processed_ends = 0;  ///< Ends up to this one were handled.
   std::uint64_t recorded_ends = 0;   ///< Ends up to this one may be forgotten.
 
+  HostPacing pacing;
+
   // Outcomes, for telling a sick host from a bad job.
   std::uint32_t failures_in_row = 0;
   std::optional<Instant> quarantined_until;
--- a/packages/scheduling/host_messages.h
+++ b/packages/scheduling/host_messages.h
@@ -33,7 +33,8 @@
 struct RunningTask {
   TaskRun id;
   CheckpointId checkpoint;  ///< Its newest one, empty where there is none.
-  int percent = 100;        ///< The share of its speed that it works at.
+  /// How far it is; a perpetual task is at work at 100.
+  int progress_percent = 0;
   /// A serving task: its tail latency in ms; others: millicores in use.
   std::int64_t measure = 0;
 };
--- a/packages/scheduling/host_messages_codec.cc
+++ b/packages/scheduling/host_messages_codec.cc
@@ -57,7 +57,7 @@
 json EncodeRunning(const RunningTask& task) {
   json row = EncodeRun(task.id);
   row.push_back(task.checkpoint.value());
-  row.push_back(task.percent);
+  row.push_back(task.progress_percent);
   row.push_back(task.measure);
   return row;
 }
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -14,7 +14,10 @@
 /// where nothing else fits.
 constexpr double kFailedBeforeCost = 1000000.0;
 /// Cost of putting best-effort work beside a serving task, or the reverse.
-constexpr double kDisturbanceCost = 20000.0;
+constexpr double kDisturbanceCost = 100000.0;
+/// Best-effort work goes beside serving tasks only while their tails are below
+/// this share of their targets.
+constexpr double kMostPressure = 0.6;
 
 bool Allowed(const PlacementView& view,
              const PlacementRequest& request,
@@ -52,6 +55,9 @@
   }
   double cost = 0;
   if (step.best_effort) {
+    if (host.pacing.pressure() > kMostPressure) {
+      return std::nullopt;
+    }
     const auto idle = host.IdleMillicores() - taken.millicores;
     if (static_cast<double>(idle) <
         kLeastBestEffortShare * static_cast<double>(step.demand.millicores)) {
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -65,13 +65,7 @@
     }
     Host& host = m_hosts.try_emplace(task.placement.host, task.placement.host)
                      .first->second;
-    const StepSpec& step = job->spec().steps[key.step];
-    HostedRun run;
-    run.demand = step.demand;
-    run.image = step.image;
-    run.best_effort = step.best_effort;
-    run.serves = step.serves();
-    run.perpetual = step.perpetual;
+    HostedRun run = MakeRun(job->spec().steps[key.step]);
     run.recovered = true;
     host.runs.emplace(TaskRun{key, task.run}, std::move(run));
     task.placed_at = m_clock.Now();
@@ -268,6 +262,10 @@
       host.granted_received && vouch ? host.stamp : Instant{0};
   const Instant now = m_clock.Now();
   for (auto& [run_id, run] : host.runs) {
+    if (run.started && run.pace_waits) {
+      orders.paces.push_back(PaceOrder{run_id, run.wanted_percent});
+      run.pace_waits = false;
+    }
     if (run.delivered_to == host.agent && host.agent != Incarnation()) {
       continue;
     }
@@ -299,6 +297,9 @@
       run.delivered_to = {};
       host.has_orders = true;
     }
+    if (run.best_effort && run.started) {
+      run.pace_waits = true;
+    }
   }
 }
 
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -120,6 +120,7 @@
                bool failed,
                const char* reason);
   void AdvanceRecordedEnds(Host& host);
+  void UpdatePacing(Host& host);
   Duration LapseBound(const Host& host) const;
 
   // Placement.
@@ -130,6 +131,7 @@
   void PlaceStep(const ReadyStep& ready);
   void PlaceGang(const ReadyStep& ready);
   void PlaceTask(Job& job, const TaskKey& key, Host& host);
+  static HostedRun MakeRun(const StepSpec& step);
 
   // Jobs.
   void StopTasksOf(Job& job);
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -115,6 +115,17 @@
   }
 }
 
+HostedRun Scheduler::MakeRun(const StepSpec& step) {
+  HostedRun run;
+  run.demand = step.demand;
+  run.image = step.image;
+  run.best_effort = step.best_effort;
+  run.serves = step.serves();
+  run.perpetual = step.perpetual;
+  run.latency_target = step.latency_target;
+  return run;
+}
+
 void Scheduler::PlaceTask(Job& job, const TaskKey& key, Host& host) {
   const StepSpec& step = job.spec().steps[key.step];
   const RunNumber number =
@@ -123,12 +134,7 @@
           : job.NextRun(key);
   Task& task = *job.Find(key);
   job.Place(key, number, Placement{host.id(), host.incarnation}, m_clock.Now());
-  HostedRun run;
-  run.demand = step.demand;
-  run.image = step.image;
-  run.best_effort = step.best_effort;
-  run.serves = step.serves();
-  run.perpetual = step.perpetual;
+  HostedRun run = MakeRun(step);
   run.job_version = job.version();
   run.order = StartOrder{TaskRun{key, number},
                          job.spec().payload,
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -6,6 +6,9 @@
 namespace zinniacart {
 namespace {
 
+/// The pace of best-effort work that an older owner started.
+constexpr int kRecoveredPercent = 50;
+
 const char* ToString(EndKind how) {
   switch (how) {
     case EndKind::kDone:
@@ -51,6 +54,30 @@
   HandleRunning(host, report);
   HandleAbsent(host, report);
   AdvanceRecordedEnds(host);
+  UpdatePacing(host);
+}
+
+void Scheduler::UpdatePacing(Host& host) {
+  std::vector<ServingMeasure> serving;
+  std::vector<BestEffortPace> paced;
+  for (const auto& [id, run] : host.runs) {
+    if (run.started && run.serves) {
+      serving.push_back(
+          ServingMeasure{id, Duration(run.latest.measure), run.latency_target});
+    } else if (run.started && run.best_effort) {
+      paced.push_back(BestEffortPace{id, run.wanted_percent});
+    }
+  }
+  for (const BestEffortPace& change :
+       host.pacing.Decide(serving, paced, m_clock.Now())) {
+    HostedRun& run = host.runs.at(change.id);
+    m_log({"run paced", change.id, host.id(),
+           "percent " + std::to_string(change.percent) + ", pressure " +
+               std::to_string(host.pacing.pressure())});
+    run.wanted_percent = change.percent;
+    run.pace_waits = true;
+    host.has_orders = true;
+  }
 }
 
 void Scheduler::AdoptAgent(Host& host, const HostReport& report) {
@@ -184,6 +211,11 @@
       run.started = true;
       run.started_at = m_clock.Now();
     }
+    if (run.recovered && run.best_effort) {
+      // The older owner may have slowed it to any pace.
+      run.wanted_percent = kRecoveredPercent;
+      run.pace_waits = true;
+    }
     run.recovered = false;
     run.ordered = true;
     run.latest = running;
--- a/packages/site/agent_node.cc
+++ b/packages/site/agent_node.cc
@@ -139,7 +139,9 @@
 }
 
 void AgentNode::Run(const PaceCall& call) {
-  m_worker.Pace(call, [](bool) {});
+  m_worker.Pace(call, [this, call](bool answered) {
+    m_supervisor.OnPaceAnswered(call, answered);
+  });
 }
 
 void AgentNode::AnswerWaiting() {
