Test the new decision code; do not repeat a hold at once while an end waits

Cause: a test of the supervisor found one hold more than needed after each listed end: the pause applied only from the second repetition on.

Change: the pause begins with the answer that lists the end.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -117,6 +117,13 @@
   }
   m_reachable = true;
   ApplyLists(call, *lists);
+  if (EndsWait()) {
+    m_hold_not_before = m_clock.Now() + m_settings.retry;
+  }
+}
+
+bool HostSupervisor::EndsWait() const {
+  return !m_ended.empty() && m_ended.back().number > m_recorded_ends;
 }
 
 void HostSupervisor::ApplyLists(const HoldCall& call,
@@ -283,9 +290,7 @@
   call.recorded_ends = m_recorded_ends;
   // The first call of a connection's life must not wait: nothing is known yet.
   // A worker that lists ends does not wait for further ones.
-  const bool ends_listed =
-      !m_ended.empty() && m_ended.back().number > m_recorded_ends;
-  call.wait = m_urgent_hold || !m_reachable || ends_listed
+  call.wait = m_urgent_hold || !m_reachable || EndsWait()
                   ? Duration(0)
                   : m_settings.hold_wait;
   if (const auto until = LeaseUntil()) {
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -95,6 +95,7 @@
   WorkerInstant WorkerNow() const;
   bool MayStart() const;
   bool LeaseLapsed() const;
+  bool EndsWait() const;
   /// @returns the worker's id, empty before its first announcement.
   std::string worker() const;
   void Changed() { ++m_news; }
--- /dev/null
+++ b/packages/jobs/tests/job_spec_test.cc
@@ -0,0 +1,116 @@
+#include "jobs/job_spec.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "jobs/job_record.h"
+#include "jobs/queue.h"
+#include "jobs/task_key.h"
+
+using namespace zinniacart;
+
+namespace {
+
+StepSpec MakeStep(std::uint32_t count,
+                  std::int64_t estimate_ms,
+                  std::vector<std::uint32_t> after = {}) {
+  StepSpec step;
+  step.count = count;
+  step.demand = Resources{500, 256, 0};
+  step.estimate = Duration(estimate_ms);
+  step.after = std::move(after);
+  return step;
+}
+
+}  // namespace
+
+TEST_GROUP(JobSpec){};
+
+TEST(JobSpec, ATaskKeySurvivesItsText) {
+  const TaskKey key{JobId("5c0e7a21d94b36f8"), 3, 1, 17};
+  STRCMP_EQUAL("5c0e7a21d94b36f8.3.1.17", key.ToString().c_str());
+  CHECK(TaskKey::Parse(key.ToString()) == key);
+}
+
+TEST(JobSpec, TextThatNamesNoTaskIsRefused) {
+  for (const char* text : {"", ".", "a", "a.1.2", ".1.2.3", "a.1.2.x", "a.1..3",
+                           "a.1.2.3 ", "a.-1.2.3", "a.99999999999.2.3"}) {
+    CHECK_FALSE(TaskKey::Parse(text).has_value());
+  }
+}
+
+TEST(JobSpec, ValidationNamesTheFieldAtFault) {
+  JobSpec spec;
+  STRCMP_EQUAL("steps", Validate(spec).error().field.c_str());
+  spec.steps = {MakeStep(0, 1)};
+  STRCMP_EQUAL("steps[0].count", Validate(spec).error().field.c_str());
+  spec.steps = {MakeStep(1, 1), MakeStep(1, 1, {1})};
+  STRCMP_EQUAL("steps[1].after", Validate(spec).error().field.c_str());
+  spec.steps = {MakeStep(1, 1), MakeStep(1, 1, {0})};
+  CHECK(Validate(spec).has_value());
+  spec.steps[0].demand.memory_mb = -1;
+  STRCMP_EQUAL("steps[0].demand", Validate(spec).error().field.c_str());
+  spec.payload = std::string(4001, 'x');
+  STRCMP_EQUAL("payload", Validate(spec).error().field.c_str());
+}
+
+TEST(JobSpec, TheLongestChainFollowsTheDependencies) {
+  JobSpec spec;
+  spec.steps = {MakeStep(4, 100), MakeStep(2, 1000), MakeStep(1, 300, {0, 1}),
+                MakeStep(1, 50)};
+  LONGS_EQUAL(1300, LongestChainEstimate(spec).count());
+  LONGS_EQUAL(400, ChainEstimate(spec, 0).count());
+  LONGS_EQUAL(300, ChainEstimate(spec, 2).count());
+}
+
+TEST(JobSpec, ARecordSurvivesItsStoredForm) {
+  JobRecord record;
+  record.id = JobId("5c0e7a21d94b36f8");
+  record.queue = QueueId("nightly");
+  record.policy.service = ServiceId("orders");
+  record.policy.priority = 2;
+  record.policy.max_attempts = 4;
+  record.policy.stretch = 1.5;
+  record.policy.objective = Duration(300);
+  record.accepted_at_ms = 1783667592535;
+  record.spec.payload = "(text) \"quoted\"";
+  record.spec.steps = {MakeStep(4, 100), MakeStep(20, 7000, {0})};
+  StepSpec& step = record.spec.steps[1];
+  step.checkpoints = step.gang = step.best_effort = true;
+  step.preferred_rack = "r1-3";
+  step.most_per_host = 2;
+  step.latency_target = Duration(125);
+  step.disruption_budget = 1;
+  record.spec.schedule = Schedule{3, 1783667600000, Duration(4500)};
+  const auto decoded = DecodeJobRecord(record.id, EncodeJobRecord(record));
+  CHECK(decoded.has_value());
+  STRCMP_EQUAL(EncodeJobRecord(record).c_str(),
+               EncodeJobRecord(*decoded).c_str());
+  STRCMP_EQUAL("r1-3", decoded->spec.steps[1].preferred_rack.c_str());
+  LONGS_EQUAL(3, decoded->spec.occurrences());
+}
+
+TEST(JobSpec, BytesThatHoldNoRecordAreATypedError) {
+  for (const char* bytes : {"", "{}", "[]", "{\"queue\":1}", "\xff\xfe"}) {
+    const auto decoded = DecodeJobRecord(JobId("a"), bytes);
+    CHECK_FALSE(decoded.has_value());
+    CHECK(decoded.error().code == ErrorCode::kInvalidArgument);
+  }
+}
+
+TEST(JobSpec, TheLongestPrefixNamesTheQueue) {
+  SiteConfiguration configuration;
+  Queue queue;
+  queue.host = "a.example";
+  queue.prefix = "/x/";
+  queue.id = QueueId("short");
+  configuration.queues.push_back(queue);
+  queue.prefix = "/x/y/";
+  queue.id = QueueId("long");
+  configuration.queues.push_back(queue);
+  STRCMP_EQUAL("long",
+               configuration.Find("a.example", "/x/y/1")->id.value().c_str());
+  STRCMP_EQUAL("short",
+               configuration.Find("a.example", "/x/1")->id.value().c_str());
+  CHECK(configuration.Find("b.example", "/x/1") == nullptr);
+  CHECK(configuration.Find("a.example", "/z") == nullptr);
+}
--- /dev/null
+++ b/packages/scheduling/tests/scheduler_harness.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "scheduling/scheduler.h"
+
+namespace zinniacart {
+
+/// A scheduler with hosts whose reports a test writes by hand.
+class SchedulerHarness final {
+ public:
+  explicit SchedulerHarness(SchedulerSettings settings = {})
+      : m_scheduler(settings, m_clock, [](const DecisionEvent&) {}) {
+    m_clock.Advance(Duration(100000));
+    Begin(1);
+  }
+
+  void Begin(std::uint64_t epoch) {
+    m_epoch = epoch;
+    m_scheduler.Begin(Epoch(epoch), EntryId("entry"));
+  }
+
+  /// Adds a host of `cores` whole cores and reports it empty.
+  void AddHost(const std::string& name, int cores) {
+    m_scheduler.AddHost(HostId(name));
+    HostReport& report = m_reports[name];
+    report.agent = Incarnation(1);
+    report.incarnation = WorkerIncarnation(1000);
+    report.worker_reachable = true;
+    report.listed = true;
+    WorkerFacts facts;
+    facts.worker = "worker-" + name;
+    facts.incarnation = WorkerIncarnation(1000);
+    facts.domain = DomainId("domain-" + name);
+    facts.service = ServiceId("service");
+    facts.capacity = Resources{cores * 1000, 64000, 0};
+    facts.labels = {"a", "rack-" + name};
+    report.facts = facts;
+    Report(name);
+  }
+
+  HostReport& report(const std::string& host) { return m_reports.at(host); }
+
+  void Report(const std::string& host) {
+    HostReport& report = m_reports.at(host);
+    report.epoch = Epoch(m_epoch);
+    ++report.sequence;
+    m_scheduler.OnReport(HostId(host), report);
+  }
+
+  /// Adds a job of one step.
+  JobId AddJob(const std::string& id, StepSpec step, int priority = 0) {
+    JobSpec spec;
+    spec.payload = "payload";
+    spec.steps = {std::move(step)};
+    return AddJob(id, std::move(spec), priority);
+  }
+
+  JobId AddJob(const std::string& id, JobSpec spec, int priority = 0) {
+    JobRecord record;
+    record.id = JobId(id);
+    record.queue = QueueId("queue");
+    record.policy.service = ServiceId("service");
+    record.policy.priority = priority;
+    record.policy.max_attempts = 2;
+    record.policy.stretch = 2;
+    record.policy.objective = Duration(1000);
+    record.spec = std::move(spec);
+    m_scheduler.AddJob(record, Duration(0));
+    m_records[record.id] = record;
+    return record.id;
+  }
+
+  /// Writes all progress that waits. @returns how many jobs were written.
+  std::size_t Write() {
+    const auto writes = m_scheduler.TakeWrites(100);
+    ++m_revision;
+    for (const ProgressWrite& write : writes) {
+      m_stored[write.job] = {write.bytes, m_revision};
+    }
+    m_scheduler.OnWritten(writes, m_revision);
+    return writes.size();
+  }
+
+  HostOrders Orders(const std::string& host) {
+    return m_scheduler.TakeOrders(HostId(host), true);
+  }
+
+  /// Places, writes, and lets every host start what it is told.
+  void RunRound() {
+    m_scheduler.Place();
+    Write();
+    for (auto& [name, report] : m_reports) {
+      const HostOrders orders = Orders(name);
+      for (const StartOrder& start : orders.starts) {
+        report.running.push_back(RunningTask{start.id, {}, 0, 0});
+      }
+      Report(name);
+    }
+  }
+
+  /// The host's worker ends the run.
+  void End(const std::string& host,
+           const TaskRun& id,
+           EndKind how,
+           const std::string& checkpoint = {}) {
+    HostReport& report = m_reports.at(host);
+    std::erase_if(report.running,
+                  [&](const RunningTask& task) { return task.id == id; });
+    report.ended.push_back(
+        EndedTask{++m_ends[host], id, how, CheckpointId(checkpoint)});
+    Report(host);
+  }
+
+  /// A new owner loads what is stored.
+  void TakeOver(std::uint64_t epoch) {
+    Begin(epoch);
+    for (const auto& [id, record] : m_records) {
+      m_scheduler.AddJob(record, Duration(0));
+    }
+    for (const auto& [id, stored] : m_stored) {
+      m_scheduler.RestoreProgress(id, stored.first, stored.second);
+    }
+    for (const auto& [name, report] : m_reports) {
+      m_scheduler.AddHost(HostId(name));
+    }
+  }
+
+  /// @returns the hosts on which the job's tasks run, or may run.
+  std::vector<std::string> HostsOf(const JobId& job) const {
+    std::vector<std::string> hosts;
+    for (const auto& [id, host] : m_scheduler.hosts()) {
+      for (const auto& [run, hosted] : host.runs) {
+        if (run.task.job == job) {
+          hosts.push_back(id.value());
+        }
+      }
+    }
+    return hosts;
+  }
+
+  ManualClock& clock() { return m_clock; }
+  Scheduler& scheduler() { return m_scheduler; }
+
+ private:
+  ManualClock m_clock;
+  Scheduler m_scheduler;
+  std::uint64_t m_epoch = 1;
+  std::uint64_t m_revision = 100;
+  std::map<std::string, HostReport> m_reports;
+  std::map<std::string, std::uint64_t> m_ends;
+  std::map<JobId, JobRecord> m_records;
+  std::map<JobId, std::pair<std::string, std::uint64_t>> m_stored;
+};
+
+/// @returns a step of `count` tasks of `millicores` each.
+inline StepSpec MakeStep(std::uint32_t count, std::int64_t millicores) {
+  StepSpec step;
+  step.count = count;
+  step.demand = Resources{millicores, 100, 0};
+  step.estimate = Duration(1000);
+  return step;
+}
+
+/// @returns run `run` of task `index` of the job's first step.
+inline TaskRun MakeRun(const JobId& job,
+                       std::uint32_t index,
+                       std::uint64_t run,
+                       std::uint32_t step = 0) {
+  return TaskRun{TaskKey{job, 0, step, index}, RunNumber(run)};
+}
+
+}  // namespace zinniacart
--- /dev/null
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -0,0 +1,325 @@
+#include "scheduling/scheduler.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "scheduling/tests/scheduler_harness.h"
+
+using namespace zinniacart;
+
+TEST_GROUP(Scheduler) {
+  SchedulerHarness harness;
+};
+
+TEST(Scheduler, AStartIsOrderedOnlyAfterItsPlacementIsWritten) {
+  harness.AddHost("a", 4);
+  harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  LONGS_EQUAL(0, harness.Orders("a").starts.size());
+  LONGS_EQUAL(1, harness.Write());
+  const HostOrders orders = harness.Orders("a");
+  LONGS_EQUAL(1, orders.starts.size());
+  STRCMP_EQUAL("payload", orders.starts[0].payload.c_str());
+  LONGS_EQUAL(1, orders.starts[0].id.run.value());
+}
+
+TEST(Scheduler, AnEndMayBeForgottenOnlyAfterItIsWritten) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  harness.End("a", MakeRun(job, 0, 1), EndKind::kDone);
+  LONGS_EQUAL(0, harness.Orders("a").recorded_ends);
+  CHECK(harness.scheduler().StateOf(job) == JobState::kRunning);
+  harness.Write();
+  LONGS_EQUAL(1, harness.Orders("a").recorded_ends);
+  CHECK(harness.scheduler().StateOf(job) == JobState::kCompleted);
+}
+
+TEST(Scheduler, AWriteThatFailedIsRepeatedWithTheNewestProgress) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  const auto lost = harness.scheduler().TakeWrites(10);
+  harness.scheduler().OnWriteFailed(lost);
+  LONGS_EQUAL(0, harness.Orders("a").starts.size());
+  // The lost attempt took effect: the store holds another revision.
+  harness.scheduler().TakeWrites(10);
+  harness.scheduler().OnWriteConflict({{job, 77}});
+  const auto again = harness.scheduler().TakeWrites(10);
+  LONGS_EQUAL(1, again.size());
+  LONGS_EQUAL(77, again[0].revision);
+}
+
+TEST(Scheduler, AHostIsNeverFilledBeyondItsRoom) {
+  harness.AddHost("a", 4);
+  harness.AddHost("b", 2);
+  harness.AddJob("job", MakeStep(10, 1500));
+  harness.RunRound();
+  LONGS_EQUAL(2, harness.scheduler().hosts().at(HostId("a")).runs.size());
+  LONGS_EQUAL(1, harness.scheduler().hosts().at(HostId("b")).runs.size());
+}
+
+TEST(Scheduler, ALaterStepWaitsForAllTasksBefore) {
+  harness.AddHost("a", 8);
+  JobSpec spec;
+  spec.steps = {MakeStep(2, 1000), MakeStep(1, 1000)};
+  spec.steps[1].after = {0};
+  const JobId job = harness.AddJob("job", spec);
+  harness.RunRound();
+  LONGS_EQUAL(2, harness.HostsOf(job).size());
+  harness.End("a", MakeRun(job, 0, 1), EndKind::kDone);
+  harness.RunRound();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+  harness.End("a", MakeRun(job, 1, 1), EndKind::kDone);
+  harness.RunRound();
+  CHECK(harness.scheduler()
+            .hosts()
+            .at(HostId("a"))
+            .runs.contains(MakeRun(job, 0, 1, 1)));
+}
+
+TEST(Scheduler, ATaskThatFailsTooOftenEndsItsJob) {
+  harness.AddHost("a", 4);
+  harness.AddHost("b", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  const std::string first = harness.HostsOf(job)[0];
+  harness.End(first, MakeRun(job, 0, 1), EndKind::kFailed);
+  harness.RunRound();
+  // Another host is tried: the first may be the cause.
+  CHECK(harness.HostsOf(job)[0] != first);
+  harness.End(harness.HostsOf(job)[0], MakeRun(job, 0, 2), EndKind::kFailed);
+  harness.RunRound();
+  CHECK(harness.scheduler().StateOf(job) == JobState::kFailed);
+  LONGS_EQUAL(0, harness.HostsOf(job).size());
+}
+
+TEST(Scheduler, AnEndThatIsNoFailureCostsNoAttempt) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  std::uint64_t run = 0;
+  for (const EndKind how : {EndKind::kStopped, EndKind::kLapsed,
+                            EndKind::kGangBroken, EndKind::kGangAlone}) {
+    harness.RunRound();
+    harness.End("a", MakeRun(job, 0, ++run), how);
+  }
+  harness.RunRound();
+  CHECK(harness.scheduler().StateOf(job) == JobState::kRunning);
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+}
+
+TEST(Scheduler, ACheckpointIsResumedFrom) {
+  harness.AddHost("a", 4);
+  StepSpec step = MakeStep(1, 1000);
+  step.checkpoints = true;
+  const JobId job = harness.AddJob("job", step);
+  harness.RunRound();
+  harness.End("a", MakeRun(job, 0, 1), EndKind::kStopped, "half");
+  harness.scheduler().Place();
+  harness.Write();
+  const HostOrders orders = harness.Orders("a");
+  LONGS_EQUAL(1, orders.starts.size());
+  STRCMP_EQUAL("half", orders.starts[0].resume_from.value().c_str());
+  LONGS_EQUAL(2, orders.starts[0].id.run.value());
+}
+
+TEST(Scheduler, ACancelledJobIsStoppedAndNotPlacedAgain) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(2, 1000));
+  harness.RunRound();
+  harness.scheduler().CancelJob(job);
+  CHECK(harness.scheduler().StateOf(job) == JobState::kCancelled);
+  LONGS_EQUAL(2, harness.Orders("a").stops.size());
+  harness.End("a", MakeRun(job, 0, 1), EndKind::kStopped);
+  harness.End("a", MakeRun(job, 1, 1), EndKind::kStopped);
+  harness.RunRound();
+  LONGS_EQUAL(0, harness.HostsOf(job).size());
+}
+
+TEST(Scheduler, AJobCancelledBeforeItsPlacementIsWrittenNeverStarts) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.scheduler().CancelJob(job);
+  harness.Write();
+  LONGS_EQUAL(0, harness.Orders("a").starts.size());
+  LONGS_EQUAL(0, harness.Orders("a").stops.size());
+}
+
+TEST(Scheduler, AnEvacuatedDomainGetsNothing) {
+  harness.AddHost("a", 4);
+  harness.scheduler().SetEvacuated({DomainId("domain-a")});
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  LONGS_EQUAL(0, harness.HostsOf(job).size());
+  harness.scheduler().SetEvacuated({});
+  harness.RunRound();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+}
+
+TEST(Scheduler, ADrainingHostGetsNothing) {
+  harness.AddHost("a", 4);
+  harness.report("a").facts->draining = true;
+  harness.Report("a");
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  LONGS_EQUAL(0, harness.HostsOf(job).size());
+}
+
+TEST(Scheduler, ASilentHostsTasksWaitUntilItsLeaseMustHaveLapsed) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  harness.AddHost("b", 4);
+  harness.Orders("a");
+  const SchedulerSettings settings;
+  harness.clock().Advance(settings.times.LapseTime() - Duration(1));
+  harness.Report("b");
+  harness.scheduler().OnTick();
+  harness.scheduler().Place();
+  CHECK(harness.HostsOf(job) == std::vector<std::string>{"a"});
+  harness.clock().Advance(Duration(2));
+  harness.scheduler().OnTick();
+  harness.scheduler().Place();
+  CHECK(harness.HostsOf(job) == std::vector<std::string>{"b"});
+}
+
+TEST(Scheduler, ARunOfAnotherLifeOfTheWorkerHasEnded) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  HostReport& report = harness.report("a");
+  report.incarnation = WorkerIncarnation(2000);
+  report.facts->incarnation = WorkerIncarnation(2000);
+  report.running.clear();
+  harness.Report("a");
+  harness.scheduler().Place();
+  harness.Write();
+  LONGS_EQUAL(2, harness.Orders("a").starts.at(0).id.run.value());
+  CHECK(harness.scheduler().StateOf(job) == JobState::kRunning);
+}
+
+TEST(Scheduler, ARunThatNobodyPlacedIsStopped) {
+  harness.AddHost("a", 4);
+  const TaskRun orphan = MakeRun(JobId("unknown"), 0, 1);
+  harness.report("a").running.push_back(RunningTask{orphan, {}, 0, 0});
+  harness.Report("a");
+  const HostOrders orders = harness.Orders("a");
+  LONGS_EQUAL(1, orders.stops.size());
+  CHECK(orders.stops[0] == orphan);
+}
+
+TEST(Scheduler, ATakeoverKeepsWhatRunsAndReplacesWhatNeverStarted) {
+  harness.AddHost("a", 4);
+  const JobId running = harness.AddJob("running", MakeStep(1, 1000));
+  harness.RunRound();
+  const JobId written = harness.AddJob("written", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  harness.TakeOver(2);
+  // Until the host has listed its runs under the new epoch, either may run.
+  LONGS_EQUAL(1, harness.HostsOf(running).size());
+  LONGS_EQUAL(1, harness.HostsOf(written).size());
+  harness.Report("a");
+  LONGS_EQUAL(1, harness.HostsOf(running).size());
+  LONGS_EQUAL(0, harness.HostsOf(written).size());
+  harness.scheduler().Place();
+  harness.Write();
+  const HostOrders orders = harness.Orders("a");
+  LONGS_EQUAL(1, orders.starts.size());
+  LONGS_EQUAL(2, orders.starts[0].id.run.value());
+}
+
+TEST(Scheduler, AnEndSeenByTwoOwnersCountsOnce) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  harness.End("a", MakeRun(job, 0, 1), EndKind::kFailed);
+  harness.Write();
+  harness.TakeOver(2);
+  harness.Report("a");
+  harness.RunRound();
+  CHECK(harness.scheduler().StateOf(job) == JobState::kRunning);
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+}
+
+TEST(Scheduler, AfterATakeoverASilentHostWaitsForTheOlderOwnersGrantsToo) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  harness.AddHost("b", 4);
+  harness.TakeOver(2);
+  const LeaseTimes times;
+  harness.clock().Advance(times.LapseTime() + times.confirmation - Duration(1));
+  harness.Report("b");
+  harness.scheduler().OnTick();
+  harness.scheduler().Place();
+  CHECK(harness.HostsOf(job) == std::vector<std::string>{"a"});
+  harness.clock().Advance(Duration(2));
+  harness.scheduler().OnTick();
+  harness.scheduler().Place();
+  CHECK(harness.HostsOf(job) == std::vector<std::string>{"b"});
+}
+
+TEST(Scheduler, ReportsThatOvertookEachOtherAreDropped) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  HostReport early = harness.report("a");
+  harness.RunRound();
+  early.epoch = Epoch(1);
+  harness.scheduler().OnReport(HostId("a"), early);
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+}
+
+TEST(Scheduler, AGangStartsWholeAndEndsWhole) {
+  harness.AddHost("a", 2);
+  harness.AddHost("b", 1);
+  StepSpec step = MakeStep(4, 1000);
+  step.gang = true;
+  const JobId large = harness.AddJob("large", step);
+  step.count = 3;
+  const JobId fits = harness.AddJob("fits", step);
+  harness.RunRound();
+  LONGS_EQUAL(0, harness.HostsOf(large).size());
+  LONGS_EQUAL(3, harness.HostsOf(fits).size());
+  // The tightest host got the first task.
+  harness.End("b", MakeRun(fits, 0, 1), EndKind::kDone);
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(fits) == JobState::kCompleted);
+}
+
+TEST(Scheduler, TasksThatMustBeApartAreApart) {
+  harness.AddHost("a", 8);
+  harness.AddHost("b", 8);
+  StepSpec step = MakeStep(3, 100);
+  step.most_per_host = 1;
+  const JobId job = harness.AddJob("job", step);
+  harness.RunRound();
+  CHECK((harness.HostsOf(job) == std::vector<std::string>{"a", "b"}));
+}
+
+TEST(Scheduler, APerpetualTaskIsRestartedHoweverItEnds) {
+  harness.AddHost("a", 4);
+  StepSpec step = MakeStep(1, 1000);
+  step.perpetual = true;
+  const JobId job = harness.AddJob("job", step);
+  std::uint64_t run = 0;
+  for (const EndKind how :
+       {EndKind::kFailed, EndKind::kFailed, EndKind::kFailed, EndKind::kDone}) {
+    harness.RunRound();
+    harness.End("a", MakeRun(job, 0, ++run), how);
+    harness.clock().Advance(Duration(10000));
+  }
+  harness.RunRound();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+  CHECK(harness.scheduler().StateOf(job) == JobState::kRunning);
+}
+
+TEST(Scheduler, AJobThatIsStillQueuedCountsAsWaiting) {
+  harness.AddHost("a", 1);
+  harness.AddJob("first", MakeStep(1, 1000));
+  harness.RunRound();
+  harness.AddJob("second", MakeStep(1, 1000));
+  harness.RunRound();
+  LONGS_EQUAL(1, harness.scheduler().CountWaiting(QueueId("queue")));
+  LONGS_EQUAL(0, harness.scheduler().CountWaiting(QueueId("other")));
+}
