Learn which best-effort images harm which serving ones; place and pace by it

Change: InterferenceModel learns the added share of the target a core, from how far a task's tail lies above its quickest sibling's; placement predicts the pressure, pacing slows the harmful ones first, halted work moves, a job that waited long starts anywhere.

--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -12,6 +12,7 @@
 #include "jobs/job_spec.h"
 #include "scheduling/host_messages.h"
 #include "scheduling/host_pacing.h"
+#include "scheduling/interference_model.h"
 
 namespace zinniacart {
 
@@ -22,8 +23,9 @@
   bool best_effort = false;
   bool serves = false;
   Duration latency_target{0};
-  int wanted_percent = 100;  ///< The share of its speed it may work at.
-  bool pace_waits = false;   ///< It has not been sent yet.
+  int wanted_percent = 100;          ///< The share of its speed it may work at.
+  std::optional<Instant> halted_at;  ///< Since when it may not work at all.
+  bool pace_waits = false;           ///< It has not been sent yet.
   bool perpetual = false;
   /// Version of the job that must be written before the start is ordered.
   std::uint64_t job_version = 0;
@@ -88,6 +90,11 @@
   Resources Free() const;
   /// @returns millicores that best-effort work could use beyond what it has.
   std::int64_t IdleMillicores() const;
+  /// @returns the share that a serving task's tail has of its target, at its
+  /// worst, if `cores` more of best-effort `image` worked here.
+  double PredictPressure(const InterferenceModel& model,
+                         const std::string& image,
+                         double cores) const;
   /// @returns how many tasks of the step run, or may run, here.
   std::uint32_t CountOf(const JobId& job,
                         std::uint32_t occurrence,
--- a/packages/scheduling/host_pacing.cc
+++ b/packages/scheduling/host_pacing.cc
@@ -41,8 +41,15 @@
     return {};
   }
   m_slowed_at = now;
+  double worst = 0;
+  for (const BestEffortPace& task : paced) {
+    worst = std::max(worst, task.percent > 0 ? task.harm : 0.0);
+  }
   std::vector<BestEffortPace> changes;
   for (const BestEffortPace& task : paced) {
+    if (task.harm < m_settings.spare_below * worst) {
+      continue;
+    }
     const int half = task.percent / 2;
     const int percent = halt || half < m_settings.least_percent ? 0 : half;
     if (percent != task.percent) {
@@ -59,19 +66,16 @@
       (m_raised_at && now - *m_raised_at < m_settings.raise_every)) {
     return {};
   }
-  const auto fastest_slowed = std::max_element(
-      paced.begin(), paced.end(),
-      [](const BestEffortPace& left, const BestEffortPace& right) {
-        // Full speed counts as lowest: there is nothing to raise.
-        return left.percent % kFullSpeed < right.percent % kFullSpeed;
-      });
-  const auto candidate = fastest_slowed->percent % kFullSpeed > 0
-                             ? fastest_slowed
-                             : std::find_if(paced.begin(), paced.end(),
-                                            [](const BestEffortPace& task) {
-                                              return task.percent < kFullSpeed;
-                                            });
-  if (candidate == paced.end()) {
+  const BestEffortPace* candidate = nullptr;
+  for (const BestEffortPace& task : paced) {
+    const bool better =
+        candidate == nullptr || task.harm < candidate->harm ||
+        (task.harm == candidate->harm && task.percent > candidate->percent);
+    if (task.percent < kFullSpeed && better) {
+      candidate = &task;
+    }
+  }
+  if (candidate == nullptr) {
     return {};
   }
   m_raised_at = now;
--- a/packages/scheduling/host_pacing.h
+++ b/packages/scheduling/host_pacing.h
@@ -19,6 +19,8 @@
 struct BestEffortPace {
   TaskRun id;
   int percent = 100;
+  /// The share of a target that it is believed to add at full speed.
+  double harm = 0;
 };
 
 struct PacingSettings {
@@ -34,6 +36,9 @@
   /// Between two steps up.
   Duration raise_every{900};
   int raise_step = 20;
+  /// Tasks that are believed to do less than this share of the worst one's
+  /// harm go on.
+  double spare_below = 0.25;
   /// Less than this is not worth the disturbance.
   int least_percent = 20;
 };
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -13,11 +13,12 @@
 /// Cost of a host on which the task failed before; such a host is used only
 /// where nothing else fits.
 constexpr double kFailedBeforeCost = 1000000.0;
-/// Cost of putting best-effort work beside a serving task, or the reverse.
-constexpr double kDisturbanceCost = 100000.0;
-/// Best-effort work goes beside serving tasks only while their tails are below
-/// this share of their targets.
-constexpr double kMostPressure = 0.6;
+/// Cost of a whole target's worth of predicted pressure.
+constexpr double kPressureCost = 20000.0;
+/// Best-effort work goes beside serving tasks only while their tails are
+/// predicted to stay below this share of their targets; a little less than
+/// where pacing begins.
+constexpr double kMostPressure = 0.8;
 
 bool Allowed(const PlacementView& view,
              const PlacementRequest& request,
@@ -29,19 +30,30 @@
          (step.required_label.empty() || host.HasLabel(step.required_label));
 }
 
-bool ServingTasksAt(const Host& host) {
-  return std::any_of(host.runs.begin(), host.runs.end(),
-                     [](const auto& entry) { return entry.second.serves; });
-}
+constexpr double kMillicoresPerCore = 1000.0;
 
-bool BestEffortTasksAt(const Host& host) {
-  return std::any_of(host.runs.begin(), host.runs.end(), [](const auto& entry) {
-    return entry.second.best_effort;
-  });
+/// @returns the cost of best-effort work on the host, nothing where it would
+/// crawl or disturb too much.
+std::optional<double> BestEffortCost(const PlacementView& view,
+                                     const PlacementRequest& request,
+                                     const Host& host,
+                                     const Resources& taken) {
+  const auto demand = static_cast<double>(request.step.demand.millicores);
+  const auto idle =
+      static_cast<double>(host.IdleMillicores() - taken.millicores);
+  const double pressure = host.PredictPressure(
+      view.interference, request.step.image, demand / kMillicoresPerCore);
+  const bool good =
+      idle >= kLeastBestEffortShare * demand && pressure <= kMostPressure;
+  if (!good && !request.anywhere) {
+    return std::nullopt;
+  }
+  return kPressureCost * pressure - idle;
 }
 
 /// @returns the cost of the host for the task, nothing where it does not fit.
-std::optional<double> CostAt(const PlacementRequest& request,
+std::optional<double> CostAt(const PlacementView& view,
+                             const PlacementRequest& request,
                              const Host& host,
                              const Resources& taken) {
   const StepSpec& step = request.step;
@@ -55,19 +67,13 @@
   }
   double cost = 0;
   if (step.best_effort) {
-    if (host.pacing.pressure() > kMostPressure) {
-      return std::nullopt;
-    }
-    const auto idle = host.IdleMillicores() - taken.millicores;
-    if (static_cast<double>(idle) <
-        kLeastBestEffortShare * static_cast<double>(step.demand.millicores)) {
+    const auto best_effort = BestEffortCost(view, request, host, taken);
+    if (!best_effort) {
       return std::nullopt;
     }
-    cost -= static_cast<double>(idle);
-    cost += ServingTasksAt(host) ? kDisturbanceCost : 0.0;
+    cost = *best_effort;
   } else {
-    cost += static_cast<double>(free.millicores - demand.millicores);
-    cost += step.serves() && BestEffortTasksAt(host) ? kDisturbanceCost : 0.0;
+    cost = static_cast<double>(free.millicores - demand.millicores);
   }
   if (!step.preferred_rack.empty() && !host.HasLabel(step.preferred_rack)) {
     cost += kFarFromDataCost;
@@ -138,7 +144,7 @@
     }
     const auto promised = taken.find(id);
     const auto cost =
-        CostAt(request, host,
+        CostAt(view, request, host,
                promised == taken.end() ? Resources{} : promised->second);
     if (cost && (!best || *cost < best_cost)) {
       best = id;
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -16,6 +16,7 @@
 struct PlacementView {
   const std::map<HostId, Host>& hosts;
   const std::set<DomainId>& evacuated;
+  const InterferenceModel& interference;
   Instant now;
 };
 
@@ -25,6 +26,9 @@
   TaskKey key;
   const StepSpec& step;
   const Task& task;
+  /// Best-effort work of a job that has waited long without a task at work
+  /// goes even where it must be slowed.
+  bool anywhere = false;
 };
 
 /// Room already promised within one decision, by host.
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -18,6 +18,7 @@
 #include "scheduling/host.h"
 #include "scheduling/host_messages.h"
 #include "scheduling/job.h"
+#include "scheduling/placement.h"
 #include "scheduling/scheduler_settings.h"
 
 namespace zinniacart {
@@ -121,6 +122,11 @@
                const char* reason);
   void AdvanceRecordedEnds(Host& host);
   void UpdatePacing(Host& host);
+  void LearnInterference(const Host& host);
+  std::optional<double> UndisturbedTail(const TaskKey& serving) const;
+  double HarmOf(const Host& host, const HostedRun& run) const;
+  void MoveHalted(Host& host);
+  PlacementView View() const;
   Duration LapseBound(const Host& host) const;
 
   // Placement.
@@ -147,6 +153,7 @@
   Instant m_began;
   SiteConfiguration m_configuration;
   std::set<DomainId> m_evacuated;
+  InterferenceModel m_interference;
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<HostId, Host> m_hosts;
   std::deque<JobId> m_dirty;
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -76,22 +76,32 @@
   return kPriorityWeight * policy.priority + slack;
 }
 
+PlacementView Scheduler::View() const {
+  return PlacementView{m_hosts, m_evacuated, m_interference, m_clock.Now()};
+}
+
 void Scheduler::PlaceStep(const ReadyStep& ready) {
   Job& job = *ready.job;
   const StepSpec& step = job.spec().steps[ready.step];
   StepTasks& tasks = job.At(ready.occurrence, ready.step);
-  const PlacementView view{m_hosts, m_evacuated, m_clock.Now()};
+  const PlacementView view = View();
+  bool idle = std::none_of(tasks.tasks.begin(), tasks.tasks.end(),
+                           [](const Task& task) { return task.placed(); });
   for (std::uint32_t index = 0; index < tasks.tasks.size(); ++index) {
     Task& task = tasks.tasks[index];
     if (task.phase != TaskPhase::kPending) {
       continue;
     }
     const TaskKey key{job.id(), ready.occurrence, ready.step, index};
-    const auto host = ChooseHost(view, PlacementRequest{job, key, step, task});
+    const bool anywhere =
+        idle && m_clock.Now() - job.accepted() > m_settings.longest_idle;
+    const auto host =
+        ChooseHost(view, PlacementRequest{job, key, step, task, anywhere});
     if (!host) {
       return;
     }
     PlaceTask(job, key, m_hosts.at(*host));
+    idle = false;
   }
 }
 
@@ -104,7 +114,7 @@
   if (!all_pending) {
     return;
   }
-  const PlacementView view{m_hosts, m_evacuated, m_clock.Now()};
+  const PlacementView view = View();
   const auto hosts = ChooseGangHosts(view, job, ready.occurrence, ready.step);
   if (!hosts) {
     return;
@@ -141,7 +151,11 @@
                          step.checkpoints ? task.checkpoint : CheckpointId(),
                          {}};
   host.runs.emplace(TaskRun{key, number}, std::move(run));
-  m_log({"run placed", TaskRun{key, number}, host.id(), {}});
+  m_log({"run placed", TaskRun{key, number}, host.id(),
+         std::to_string(step.demand.millicores) + " millicores" +
+             (step.best_effort ? " best effort" : "") + ", estimate " +
+             std::to_string(step.estimate.count()) + " ms, age " +
+             std::to_string((m_clock.Now() - job.accepted()).count()) + " ms"});
   Touched(job);
 }
 
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -57,29 +57,6 @@
   UpdatePacing(host);
 }
 
-void Scheduler::UpdatePacing(Host& host) {
-  std::vector<ServingMeasure> serving;
-  std::vector<BestEffortPace> paced;
-  for (const auto& [id, run] : host.runs) {
-    if (run.started && run.serves) {
-      serving.push_back(
-          ServingMeasure{id, Duration(run.latest.measure), run.latency_target});
-    } else if (run.started && run.best_effort) {
-      paced.push_back(BestEffortPace{id, run.wanted_percent});
-    }
-  }
-  for (const BestEffortPace& change :
-       host.pacing.Decide(serving, paced, m_clock.Now())) {
-    HostedRun& run = host.runs.at(change.id);
-    m_log({"run paced", change.id, host.id(),
-           "percent " + std::to_string(change.percent) + ", pressure " +
-               std::to_string(host.pacing.pressure())});
-    run.wanted_percent = change.percent;
-    run.pace_waits = true;
-    host.has_orders = true;
-  }
-}
-
 void Scheduler::AdoptAgent(Host& host, const HostReport& report) {
   const Instant now = m_clock.Now();
   if (report.agent != host.agent) {
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -36,6 +36,10 @@
   LeaseTimes times;
   /// An order that shows no effect is sent again after this time.
   Duration redelivery{2000};
+  /// A job whose turn has come does not stay without a task at work for longer.
+  Duration longest_idle{1500};
+  /// Best-effort work that has been halted this long goes elsewhere if it can.
+  Duration move_halted_after{800};
   /// A host that has not been heard for this long gets no new work. Three
   /// rounds of reports.
   Duration silence{2500};
