Judge hosts by progress, plan paces from learned harm, keep headroom and checkpoints

Change: Headroom for short work, bounded so that a perpetual task that fits twice over is never held back; checkpoints stored every 1.5 s; HostHealth by progress against the estimate and the other hosts; copies where a step allows them; HostPacing plans from the model and cuts only suspects; placement counts work that does not show in the measures yet. Lease 6 -> 4 s and confirmation 2.5 -> 4 s: silent hosts are given up earlier, outages outlived as long.

--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "base/resources.h"
 #include "jobs/job_spec.h"
+#include "scheduling/host_health.h"
 #include "scheduling/host_messages.h"
 #include "scheduling/host_pacing.h"
 #include "scheduling/interference_model.h"
@@ -22,6 +23,7 @@
   std::string image;
   bool best_effort = false;
   bool serves = false;
+  Duration estimate{0};
   Duration latency_target{0};
   int wanted_percent = 100;          ///< The share of its speed it may work at.
   std::optional<Instant> halted_at;  ///< Since when it may not work at all.
@@ -77,6 +79,7 @@
   std::uint64_t recorded_ends = 0;   ///< Ends up to this one may be forgotten.
 
   HostPacing pacing;
+  HostHealth health;
 
   // Outcomes, for telling a sick host from a bad job.
   std::uint32_t failures_in_row = 0;
@@ -94,7 +97,10 @@
   /// worst, if `cores` more of best-effort `image` worked here.
   double PredictPressure(const InterferenceModel& model,
                          const std::string& image,
-                         double cores) const;
+                         double cores,
+                         Instant now) const;
+  /// @returns whether a task with a latency target is here.
+  bool Serves() const;
   /// @returns how many tasks of the step run, or may run, here.
   std::uint32_t CountOf(const JobId& job,
                         std::uint32_t occurrence,
--- /dev/null
+++ b/packages/scheduling/host_health.cc
@@ -0,0 +1,75 @@
+#include "scheduling/host_health.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace zinniacart {
+namespace {
+
+/// Estimates are rough; one that was far too long must not hide a slow host.
+constexpr double kMostSpeed = 2.0;
+
+double SpeedOf(Duration estimate, Duration elapsed, double progress) {
+  const double expected = static_cast<double>(estimate.count());
+  const double taken = std::max(1.0, static_cast<double>(elapsed.count()));
+  return std::min(kMostSpeed, progress * expected / taken);
+}
+
+}  // namespace
+
+void HostHealth::OnFinished(Duration estimate, Duration elapsed, Instant now) {
+  if (estimate.count() > 0) {
+    m_finished.push_back(Finished{now, SpeedOf(estimate, elapsed, 1.0)});
+  }
+}
+
+void HostHealth::BeginLook() {
+  m_running.clear();
+}
+
+void HostHealth::OnRunning(Duration estimate,
+                           Duration elapsed,
+                           double progress) {
+  // A task that is early in its time has not shown its speed yet.
+  if (estimate.count() > 0 && elapsed >= m_settings.least_elapsed &&
+      elapsed >= estimate / 2) {
+    m_running.push_back(SpeedOf(estimate, elapsed, progress));
+  }
+}
+
+void HostHealth::EndLook(std::optional<double> usual, Instant now) {
+  while (!m_finished.empty() &&
+         now - m_finished.front().at > m_settings.window) {
+    m_finished.pop_front();
+  }
+  std::vector<double> samples = m_running;
+  for (const Finished& finished : m_finished) {
+    samples.push_back(finished.speed);
+  }
+  if (samples.size() < m_settings.least_samples) {
+    m_speed.reset();
+    if (m_sick_since && now - *m_sick_since > m_settings.retry_after) {
+      m_sick_since.reset();
+    }
+    return;
+  }
+  m_speed = std::accumulate(samples.begin(), samples.end(), 0.0) /
+            static_cast<double>(samples.size());
+  if (usual && *m_speed < m_settings.sick_below * *usual) {
+    m_sick_since = now;
+  } else if (m_sick_since && now - *m_sick_since > m_settings.retry_after) {
+    m_sick_since.reset();
+  }
+}
+
+std::optional<double> MedianSpeed(std::vector<double> speeds) {
+  if (speeds.empty()) {
+    return std::nullopt;
+  }
+  const auto middle =
+      speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+  std::nth_element(speeds.begin(), middle, speeds.end());
+  return *middle;
+}
+
+}  // namespace zinniacart
--- a/packages/scheduling/job.cc
+++ b/packages/scheduling/job.cc
@@ -154,6 +154,15 @@
   }
 }
 
+void Job::CountCopyFailure(const TaskKey& key) {
+  StepTasks& step = At(key.occurrence, key.step);
+  Task& task = step.tasks[key.index];
+  if (task.phase != TaskPhase::kDone) {
+    CountFailure(key, step, task);
+    Touch();
+  }
+}
+
 void Job::Finish(const TaskKey& key) {
   StepTasks& step = At(key.occurrence, key.step);
   if (step.tasks[key.index].phase == TaskPhase::kDone) {
@@ -180,6 +189,11 @@
   }
 }
 
+void Job::SaveCheckpoint(const TaskKey& key, const CheckpointId& checkpoint) {
+  Find(key)->checkpoint = checkpoint;
+  Touch();
+}
+
 void Job::Cancel() {
   if (active()) {
     m_state = JobState::kCancelled;
--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -89,8 +89,12 @@
   /// Records that the newest run of `key` has ended or never was.
   /// @param failed counts the end as a failed attempt.
   void Release(const TaskKey& key, const CheckpointId& checkpoint, bool failed);
+  /// Counts the failure of a run that is no longer the newest one.
+  void CountCopyFailure(const TaskKey& key);
   /// Records that `key` is done; for a gang, all of its members.
   void Finish(const TaskKey& key);
+  /// Records the newest checkpoint of a task that goes on.
+  void SaveCheckpoint(const TaskKey& key, const CheckpointId& checkpoint);
   void Cancel();
   void GiveUp();
 
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -15,6 +15,13 @@
 constexpr double kFailedBeforeCost = 1000000.0;
 /// Cost of a whole target's worth of predicted pressure.
 constexpr double kPressureCost = 20000.0;
+/// Cost of putting a serving task on a host that has none: such hosts are kept
+/// for best-effort work that would disturb.
+constexpr double kOpenHostCost = 50000.0;
+/// Cost of putting best-effort work that disturbs nobody there.
+constexpr double kWasteQuietHostCost = 15000.0;
+/// Less predicted pressure than this disturbs nobody.
+constexpr double kNoDisturbance = 0.05;
 /// Best-effort work goes beside serving tasks only while their tails are
 /// predicted to stay below this share of their targets; a little less than
 /// where pacing begins.
@@ -32,6 +39,22 @@
 
 constexpr double kMillicoresPerCore = 1000.0;
 
+/// @returns whether the task would disturb no serving task anywhere.
+bool Harmless(const PlacementView& view, const PlacementRequest& request) {
+  const double cores =
+      static_cast<double>(request.step.demand.millicores) / kMillicoresPerCore;
+  for (const auto& [id, host] : view.hosts) {
+    for (const auto& [run_id, run] : host.runs) {
+      if (run.serves &&
+          cores * view.interference.PerCore(run.image, request.step.image) >
+              kNoDisturbance) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 /// @returns the cost of best-effort work on the host, nothing where it would
 /// crawl or disturb too much.
 std::optional<double> BestEffortCost(const PlacementView& view,
@@ -41,14 +64,19 @@
   const auto demand = static_cast<double>(request.step.demand.millicores);
   const auto idle =
       static_cast<double>(host.IdleMillicores() - taken.millicores);
-  const double pressure = host.PredictPressure(
-      view.interference, request.step.image, demand / kMillicoresPerCore);
+  const double pressure =
+      host.PredictPressure(view.interference, request.step.image,
+                           demand / kMillicoresPerCore, view.now);
   const bool good =
       idle >= kLeastBestEffortShare * demand && pressure <= kMostPressure;
   if (!good && !request.anywhere) {
     return std::nullopt;
   }
-  return kPressureCost * pressure - idle;
+  double cost = kPressureCost * pressure - idle;
+  if (!host.Serves() && Harmless(view, request)) {
+    cost += kWasteQuietHostCost;
+  }
+  return cost;
 }
 
 /// @returns the cost of the host for the task, nothing where it does not fit.
@@ -74,6 +102,7 @@
     cost = *best_effort;
   } else {
     cost = static_cast<double>(free.millicores - demand.millicores);
+    cost += step.serves() && !host.Serves() ? kOpenHostCost : 0.0;
   }
   if (!step.preferred_rack.empty() && !host.HasLabel(step.preferred_rack)) {
     cost += kFarFromDataCost;
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -137,6 +137,15 @@
       host.has_orders = true;
     }
   }
+  CopyRunsOfSilentHosts();
+  if (now - m_checkpoints_saved_at > m_settings.save_checkpoints_every) {
+    m_checkpoints_saved_at = now;
+    SaveCheckpoints();
+  }
+  if (now - m_load_logged_at > m_settings.log_load_every) {
+    m_load_logged_at = now;
+    LogLoad();
+  }
   while (!m_ended.empty() &&
          now - m_ended.front().first > m_settings.remember_ended) {
     m_jobs.erase(m_ended.front().second);
@@ -144,6 +153,56 @@
   }
 }
 
+void Scheduler::LogLoad() {
+  std::int64_t free = 0;
+  std::int64_t idle = 0;
+  std::int64_t best_effort_use = 0;
+  std::size_t halted = 0;
+  for (const auto& [id, host] : m_hosts) {
+    if (!host.Usable(m_clock.Now())) {
+      continue;
+    }
+    free += host.Free().millicores;
+    idle += host.IdleMillicores();
+    for (const auto& [run_id, run] : host.runs) {
+      best_effort_use += run.best_effort ? run.latest.measure : 0;
+      halted += run.halted_at ? 1 : 0;
+    }
+  }
+  std::size_t waiting = 0;
+  for (const ReadyStep& ready : ReadySteps()) {
+    const auto& tasks = ready.job->At(ready.occurrence, ready.step).tasks;
+    waiting += static_cast<std::size_t>(std::count_if(
+        tasks.begin(), tasks.end(),
+        [](const Task& task) { return task.phase == TaskPhase::kPending; }));
+  }
+  m_log({"load",
+         {},
+         {},
+         std::to_string(waiting) + " tasks wait, " + std::to_string(free) +
+             " millicores free, " + std::to_string(idle) + " idle, " +
+             std::to_string(best_effort_use) + " used by best effort, " +
+             std::to_string(halted) + " halted"});
+}
+
+void Scheduler::SaveCheckpoints() {
+  for (auto& [host_id, host] : m_hosts) {
+    for (auto& [id, run] : host.runs) {
+      Job* job = FindJob(id.task.job);
+      if (job == nullptr || !job->active() ||
+          run.latest.checkpoint.value().empty() ||
+          !job->spec().steps[id.task.step].checkpoints) {
+        continue;
+      }
+      const Task& task = *job->Find(id.task);
+      if (task.run == id.run && task.checkpoint != run.latest.checkpoint) {
+        job->SaveCheckpoint(id.task, run.latest.checkpoint);
+        Touched(*job);
+      }
+    }
+  }
+}
+
 Duration Scheduler::LapseBound(const Host& host) const {
   const Duration lapse = m_settings.times.LapseTime();
   // Before we granted anything, an older owner may have, while it was sure
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -15,6 +15,7 @@
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/queue.h"
+#include "scheduling/headroom.h"
 #include "scheduling/host.h"
 #include "scheduling/host_messages.h"
 #include "scheduling/job.h"
@@ -124,9 +125,20 @@
   void UpdatePacing(Host& host);
   void LearnInterference(const Host& host);
   std::optional<double> UndisturbedTail(const TaskKey& serving) const;
-  double HarmOf(const Host& host, const HostedRun& run) const;
+  std::vector<double> HarmOf(
+      const HostedRun& run,
+      const std::vector<std::string>& serving_images) const;
   void MoveHalted(Host& host);
   PlacementView View() const;
+  void ObserveHeadroom();
+  bool LeavesHeadroom(const Job& job, const StepSpec& step) const;
+  void SaveCheckpoints();
+  void UpdateHealth(Host& host);
+  void LeaveSickHost(Host& host);
+  void StopRun(Job& job, const TaskKey& key, Host& host, HostedRun& run);
+  void CopyRunsOfSilentHosts();
+  void StopOtherCopy(Job& job, const TaskRun& finished);
+  void LogLoad();
   Duration LapseBound(const Host& host) const;
 
   // Placement.
@@ -154,6 +166,9 @@
   SiteConfiguration m_configuration;
   std::set<DomainId> m_evacuated;
   InterferenceModel m_interference;
+  std::map<ServiceId, Headroom> m_headroom;
+  Instant m_checkpoints_saved_at;
+  Instant m_load_logged_at;
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<HostId, Host> m_hosts;
   std::deque<JobId> m_dirty;
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -31,25 +31,37 @@
 void Scheduler::UpdatePacing(Host& host) {
   LearnInterference(host);
   std::vector<ServingMeasure> serving;
-  std::vector<BestEffortPace> paced;
+  std::vector<std::string> images;
   for (const auto& [id, run] : host.runs) {
     if (run.started && run.serves) {
-      serving.push_back(
-          ServingMeasure{id, Duration(run.latest.measure), run.latency_target});
-    } else if (run.started && run.best_effort && !run.stopping) {
+      const auto target = static_cast<double>(run.latency_target.count());
+      const auto tail = static_cast<double>(run.latest.measure);
+      serving.push_back(ServingMeasure{
+          tail / target, UndisturbedTail(id.task).value_or(tail) / target});
+      images.push_back(run.image);
+    }
+  }
+  std::vector<BestEffortPace> paced;
+  for (const auto& [id, run] : host.runs) {
+    if (run.started && run.best_effort && !run.stopping) {
       paced.push_back(
-          BestEffortPace{id, run.wanted_percent, HarmOf(host, run)});
+          BestEffortPace{id, run.wanted_percent, HarmOf(run, images)});
     }
   }
   const Instant now = m_clock.Now();
-  for (const BestEffortPace& change : host.pacing.Decide(serving, paced, now)) {
+  for (const BestEffortPace& change :
+       host.pacing.Decide(serving, std::move(paced), now)) {
     HostedRun& run = host.runs.at(change.id);
     m_log({"run paced", change.id, host.id(),
            "percent " + std::to_string(change.percent) + ", pressure " +
                std::to_string(host.pacing.pressure())});
     run.wanted_percent = change.percent;
     run.pace_waits = true;
-    run.halted_at = change.percent == 0 ? std::optional(now) : std::nullopt;
+    if (change.percent > 0) {
+      run.halted_at.reset();
+    } else if (!run.halted_at) {
+      run.halted_at = now;
+    }
     host.has_orders = true;
   }
   MoveHalted(host);
@@ -100,17 +112,16 @@
   return least;
 }
 
-double Scheduler::HarmOf(const Host& host, const HostedRun& run) const {
+std::vector<double> Scheduler::HarmOf(
+    const HostedRun& run,
+    const std::vector<std::string>& serving_images) const {
   const double cores =
       static_cast<double>(run.demand.millicores) / kMillicoresPerCore;
-  double worst = 0;
-  for (const auto& [id, serving] : host.runs) {
-    if (serving.serves) {
-      worst = std::max(
-          worst, cores * m_interference.PerCore(serving.image, run.image));
-    }
+  std::vector<double> harm;
+  for (const std::string& image : serving_images) {
+    harm.push_back(cores * m_interference.PerCore(image, run.image));
   }
-  return worst;
+  return harm;
 }
 
 void Scheduler::MoveHalted(Host& host) {
@@ -118,7 +129,8 @@
   for (auto& [id, run] : host.runs) {
     Job* job = FindJob(id.task.job);
     if (job == nullptr || !run.halted_at || run.stopping ||
-        now - *run.halted_at < m_settings.move_halted_after) {
+        now - *run.halted_at < m_settings.move_halted_after ||
+        now - run.started_at < m_settings.least_stay) {
       continue;
     }
     const StepSpec& step = job->spec().steps[id.task.step];
@@ -132,10 +144,7 @@
       continue;
     }
     m_log({"run moved", id, host.id(), "halted; room at " + better->value()});
-    run.stopping = true;
-    run.delivered_to = {};
-    task->phase = TaskPhase::kStopping;
-    host.has_orders = true;
+    StopRun(*job, id.task, host, run);
   }
 }
 
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -12,6 +12,7 @@
 }  // namespace
 
 void Scheduler::Place() {
+  ObserveHeadroom();
   for (const ReadyStep& ready : ReadySteps()) {
     if (ready.job->spec().steps[ready.step].gang) {
       PlaceGang(ready);
@@ -76,6 +77,54 @@
   return kPriorityWeight * policy.priority + slack;
 }
 
+void Scheduler::ObserveHeadroom() {
+  std::map<ServiceId, std::pair<std::int64_t, std::int64_t>> wanted_and_used;
+  for (const auto& [id, job] : m_jobs) {
+    if (!job->active()) {
+      continue;
+    }
+    auto& [wanted, used] = wanted_and_used[job->policy().service];
+    job->ForEachTask([&, &counted = *job](const TaskKey& key, Task& task) {
+      const StepSpec& step = counted.spec().steps[key.step];
+      if (step.perpetual || step.best_effort) {
+        return;
+      }
+      const bool waits = task.phase == TaskPhase::kPending &&
+                         Due(counted, key.occurrence) &&
+                         counted.Unblocked(key.occurrence, key.step);
+      wanted += task.placed() || waits ? step.demand.millicores : 0;
+      used += task.placed() ? step.demand.millicores : 0;
+    });
+  }
+  for (const auto& [service, sums] : wanted_and_used) {
+    m_headroom[service].Observe(sums.first, sums.second, m_clock.Now());
+  }
+}
+
+bool Scheduler::LeavesHeadroom(const Job& job, const StepSpec& step) const {
+  std::int64_t free = 0;
+  std::int64_t fitting = 0;
+  const Instant now = m_clock.Now();
+  for (const auto& [id, host] : m_hosts) {
+    if (host.Usable(now) && host.facts->service == job.policy().service &&
+        !m_evacuated.contains(host.facts->domain)) {
+      const Resources room = host.Free();
+      free += std::max<std::int64_t>(0, room.millicores);
+      fitting += step.demand.FitsIn(room) && step.demand.millicores > 0
+                     ? room.millicores / step.demand.millicores
+                     : 0;
+    }
+  }
+  // Room for the task twice over is not held back from it, whatever comes.
+  if (fitting >= 2) {
+    return true;
+  }
+  const auto headroom = m_headroom.find(job.policy().service);
+  const std::int64_t reserve =
+      headroom == m_headroom.end() ? 0 : headroom->second.Reserve();
+  return free - step.demand.millicores >= reserve;
+}
+
 PlacementView Scheduler::View() const {
   return PlacementView{m_hosts, m_evacuated, m_interference, m_clock.Now()};
 }
@@ -84,6 +133,9 @@
   Job& job = *ready.job;
   const StepSpec& step = job.spec().steps[ready.step];
   StepTasks& tasks = job.At(ready.occurrence, ready.step);
+  if (step.perpetual && !LeavesHeadroom(job, step)) {
+    return;
+  }
   const PlacementView view = View();
   bool idle = std::none_of(tasks.tasks.begin(), tasks.tasks.end(),
                            [](const Task& task) { return task.placed(); });
@@ -102,6 +154,9 @@
     }
     PlaceTask(job, key, m_hosts.at(*host));
     idle = false;
+    if (step.perpetual && !LeavesHeadroom(job, step)) {
+      return;
+    }
   }
 }
 
@@ -132,6 +187,7 @@
   run.best_effort = step.best_effort;
   run.serves = step.serves();
   run.perpetual = step.perpetual;
+  run.estimate = step.estimate;
   run.latency_target = step.latency_target;
   return run;
 }
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -54,6 +54,7 @@
   HandleRunning(host, report);
   HandleAbsent(host, report);
   AdvanceRecordedEnds(host);
+  UpdateHealth(host);
   UpdatePacing(host);
 }
 
@@ -110,9 +111,15 @@
 }
 
 void Scheduler::ApplyEnd(Host& host, const EndedTask& ended) {
-  if (!host.runs.contains(ended.id)) {
+  const auto found = host.runs.find(ended.id);
+  if (found == host.runs.end()) {
     return;
   }
+  const HostedRun& run = found->second;
+  if (ended.how == EndKind::kDone && run.started && !run.best_effort) {
+    const Instant now = m_clock.Now();
+    host.health.OnFinished(run.estimate, now - run.started_at, now);
+  }
   m_log({"run ended", ended.id, host.id(), ToString(ended.how)});
   Job* job = FindJob(ended.id.task.job);
   if (job == nullptr || ended.how != EndKind::kDone) {
@@ -129,6 +136,7 @@
     job->Release(ended.id.task, ended.checkpoint, false);
   } else {
     job->Finish(ended.id.task);
+    StopOtherCopy(*job, ended.id);
   }
   if (was_active || job->state() != JobState::kCancelled) {
     Touched(*job);
@@ -241,7 +249,15 @@
     return;
   }
   Task* task = job->Find(id.task);
-  if (task == nullptr || !task->placed() || task->run != id.run) {
+  if (task == nullptr) {
+    return;
+  }
+  if (!task->placed() || task->run != id.run) {
+    // A copy that is no longer the newest run.
+    if (failed && job->active()) {
+      job->CountCopyFailure(id.task);
+      Touched(*job);
+    }
     return;
   }
   const bool was_active = job->active();
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -10,11 +10,11 @@
   /// the platform's longest lease; long enough to outlive a restart of all
   /// daemons, short enough that the tasks of a host that is cut off are
   /// placed anew while their job can still be in time.
-  Duration lease{6000};
+  Duration lease{4000};
   /// The owner vouches for stamps only while its ownership was confirmed at
   /// most this long ago; so long do tasks outlive an outage of the store
   /// beyond the lease itself.
-  Duration confirmation{2500};
+  Duration confirmation{4000};
   /// A start that is carried out later than this is refused by the worker.
   Duration start_validity{1000};
   /// Clocks may run this much slower than ours.
@@ -39,7 +39,16 @@
   /// A job whose turn has come does not stay without a task at work for longer.
   Duration longest_idle{1500};
   /// Best-effort work that has been halted this long goes elsewhere if it can.
-  Duration move_halted_after{800};
+  Duration move_halted_after{700};
+  /// A move costs unsaved work and a start; a run stays at least this long.
+  Duration least_stay{1000};
+  /// Tasks of which copies may run get one elsewhere when their host has been
+  /// silent this long.
+  Duration copy_after_silence{1300};
+  /// Checkpoints of running tasks are stored this often: so much work is lost
+  /// when owner and worker fail at the same moment.
+  Duration save_checkpoints_every{1500};
+  Duration log_load_every{2000};
   /// A host that has not been heard for this long gets no new work. Three
   /// rounds of reports.
   Duration silence{2500};
--- /dev/null
+++ b/packages/scheduling/tests/host_health_test.cc
@@ -0,0 +1,151 @@
+#include "scheduling/host_health.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "scheduling/headroom.h"
+#include "scheduling/tests/scheduler_harness.h"
+
+using namespace zinniacart;
+
+TEST_GROUP(HostHealth) {
+  HostHealth health;
+  ManualClock clock;
+  const Duration estimate{1000};
+
+  void Look(std::vector<double> progresses, Duration elapsed) {
+    health.BeginLook();
+    for (const double progress : progresses) {
+      health.OnRunning(estimate, elapsed, progress);
+    }
+    health.EndLook(1.0, clock.Now());
+  }
+};
+
+TEST(HostHealth, AHostAsFastAsTheOthersIsWell) {
+  Look({0.9, 1.0, 0.8}, Duration(1000));
+  CHECK_FALSE(health.sick());
+  DOUBLES_EQUAL(0.9, *health.speed(), 0.01);
+}
+
+TEST(HostHealth, TasksThatStandStillShowASickHost) {
+  Look({0.0, 0.0}, Duration(800));
+  CHECK(health.sick());
+}
+
+TEST(HostHealth, OneLongTaskSaysNothing) {
+  Look({0.05}, Duration(5000));
+  CHECK_FALSE(health.sick());
+}
+
+TEST(HostHealth, ATaskThatHasJustStartedSaysNothing) {
+  Look({0.0, 0.0, 0.0}, Duration(300));
+  CHECK_FALSE(health.sick());
+}
+
+TEST(HostHealth, ASickHostIsTriedAgainAfterAWhile) {
+  Look({0.0, 0.0}, Duration(800));
+  clock.Advance(HealthSettings().retry_after);
+  Look({}, Duration(0));
+  CHECK(health.sick());
+  clock.Advance(Duration(1));
+  Look({}, Duration(0));
+  CHECK_FALSE(health.sick());
+}
+
+TEST_GROUP(SickHost) {
+  SchedulerHarness harness;
+
+  /// Lets each task of the host be as far as `progress` says.
+  void Progress(const std::string& host, int percent) {
+    for (RunningTask& task : harness.report(host).running) {
+      task.progress_percent = percent;
+    }
+    harness.Report(host);
+  }
+
+  JobId StartOnTwoHosts(StepSpec step) {
+    harness.AddHost("a", 4);
+    harness.AddHost("b", 4);
+    step.most_per_host = 2;
+    const JobId job = harness.AddJob("job", step);
+    harness.RunRound();
+    return job;
+  }
+};
+
+// Load: one worker turns slow while its announcements stay good. Its tasks
+// must not wait for it, and it must get no further ones.
+TEST(SickHost, ItsTasksAreStoppedAndPlacedElsewhere) {
+  StartOnTwoHosts(MakeStep(4, 100));
+  harness.clock().Advance(Duration(900));
+  Progress("b", 90);
+  Progress("a", 5);
+  const HostOrders orders = harness.Orders("a");
+  LONGS_EQUAL(2, orders.stops.size());
+  for (const TaskRun& id : orders.stops) {
+    harness.End("a", id, EndKind::kStopped);
+  }
+  const JobId more = harness.AddJob("more", MakeStep(3, 100));
+  harness.RunRound();
+  for (const std::string& host : harness.HostsOf(more)) {
+    STRCMP_EQUAL("b", host.c_str());
+  }
+}
+
+TEST(SickHost, ACopyIsStartedAtOnceWhereCopiesMayRun) {
+  StepSpec step = MakeStep(4, 100);
+  step.speculative = true;
+  step.most_per_host = 0;
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", step);
+  harness.RunRound();
+  harness.AddHost("b", 4);
+  StepSpec other = MakeStep(4, 100);
+  other.most_per_host = 2;
+  harness.AddJob("other", other);
+  harness.RunRound();
+  harness.clock().Advance(Duration(900));
+  Progress("b", 90);
+  Progress("a", 5);
+  harness.scheduler().Place();
+  harness.Write();
+  LONGS_EQUAL(4, harness.HostsOf(job).size() - 4);
+  harness.Orders("b");
+  // The first copy to end counts; the other one is stopped.
+  harness.End("a", MakeRun(job, 0, 1), EndKind::kDone);
+  CHECK(harness.Orders("b").stops.at(0) == MakeRun(job, 0, 2));
+}
+
+TEST_GROUP(Headroom) {
+  Headroom headroom;
+  ManualClock clock;
+};
+
+TEST(Headroom, APeakIsRememberedAndFades) {
+  headroom.Observe(10000, 0, clock.Now());
+  LONGS_EQUAL(12000, headroom.Reserve());
+  clock.Advance(HeadroomSettings().half_life);
+  headroom.Observe(0, 0, clock.Now());
+  LONGS_EQUAL(6000, headroom.Reserve());
+  headroom.Observe(1000, 1000, clock.Now());
+  LONGS_EQUAL(5000, headroom.Reserve());
+}
+
+// Load: perpetual tasks ask for more than there is, then short ones come.
+TEST(Headroom, PerpetualTasksLeaveRoomToShortOnes) {
+  SchedulerHarness harness;
+  harness.AddHost("a", 10);
+  harness.AddJob("short", MakeStep(4, 1000));
+  harness.RunRound();
+  for (std::uint32_t index = 0; index < 4; ++index) {
+    harness.End("a", MakeRun(JobId("short"), index, 1), EndKind::kDone);
+  }
+  StepSpec perpetual = MakeStep(5, 3000);
+  perpetual.perpetual = true;
+  const JobId lasting = harness.AddJob("lasting", perpetual);
+  harness.RunRound();
+  LONGS_EQUAL(2, harness.HostsOf(lasting).size());
+  const JobId burst = harness.AddJob("burst", MakeStep(4, 1000));
+  harness.RunRound();
+  LONGS_EQUAL(4, harness.HostsOf(burst).size());
+}
