Count the end of any copy; do not copy what a new owner has not heard of yet

Ruled out: the write-ahead (each start followed its write), the fence.

Change: silence counts from the start of the term; a run remembers the life of the worker that has it; a done end counts whoever knew of the run. One setting for silence. Tests of both, red before. A host that refuses a start is avoided (process test with orders carried out late, red before). Stand-ins for the platform's store and worker, and process tests of the real daemons over them.

--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -19,6 +19,7 @@
 
 /// A run that is on a host, or may be.
 struct HostedRun {
+  WorkerIncarnation incarnation;  ///< The life of the worker that has it.
   Resources demand;
   std::string image;
   bool best_effort = false;
--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -37,8 +37,9 @@
   RunNumber run;  ///< The newest run; 0 before the first.
   Placement placement;
   CheckpointId checkpoint;
-  std::vector<HostId> failed_on;  ///< Hosts to avoid; not persisted.
-  Instant placed_at;              ///< Not persisted.
+  /// Hosts to avoid, where runs failed or were refused; not persisted.
+  std::vector<HostId> failed_on;
+  Instant placed_at;  ///< Not persisted.
 
   bool placed() const {
     return phase == TaskPhase::kPlaced || phase == TaskPhase::kStopping;
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -67,6 +67,7 @@
                      .first->second;
     HostedRun run = MakeRun(job->spec().steps[key.step]);
     run.recovered = true;
+    run.incarnation = task.placement.incarnation;
     host.runs.emplace(TaskRun{key, task.run}, std::move(run));
     task.placed_at = m_clock.Now();
   });
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -111,9 +111,11 @@
   void AdoptIncarnation(Host& host, const HostReport& report);
   void HandleEnds(Host& host, const HostReport& report);
   void HandleRunning(Host& host, const HostReport& report);
+  void AvoidHost(const OrderResult& result, const Host& host);
   void HandleResults(Host& host, const HostReport& report);
   void HandleAbsent(Host& host, const HostReport& report);
   void ApplyEnd(Host& host, const EndedTask& ended);
+  void ApplyUnexpectedEnd(const EndedTask& ended);
   void CountOutcome(Host& host, const TaskRun& id, bool failed);
   void LapseRuns(Host& host, const char* reason);
   void DropRun(Host& host,
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <vector>
 
 #include "scheduling/scheduler.h"
@@ -92,8 +93,11 @@
 void Scheduler::CopyRunsOfSilentHosts() {
   const Instant now = m_clock.Now();
   for (auto& [host_id, host] : m_hosts) {
-    const bool silent = now - host.heard_at > m_settings.copy_after_silence;
-    if (host.reachable && !silent) {
+    // A new owner has not heard any host yet.
+    const Instant heard = std::max(host.heard_at, m_began);
+    const bool silent = now - heard > m_settings.silence;
+    const bool lost = host.listed && !host.reachable;
+    if (!silent && !lost) {
       continue;
     }
     for (auto& [id, run] : host.runs) {
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -201,6 +201,7 @@
   Task& task = *job.Find(key);
   job.Place(key, number, Placement{host.id(), host.incarnation}, m_clock.Now());
   HostedRun run = MakeRun(step);
+  run.incarnation = host.incarnation;
   run.job_version = job.version();
   run.order = StartOrder{TaskRun{key, number},
                          job.spec().payload,
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -78,7 +78,6 @@
   if (host.incarnation == *report.incarnation) {
     return;
   }
-  const bool first = host.incarnation == WorkerIncarnation();
   host.incarnation = *report.incarnation;
   host.pending_ends.clear();
   host.processed_ends = 0;
@@ -87,11 +86,7 @@
   // Runs of another life of the worker ended with it.
   const auto runs = host.runs;
   for (const auto& [id, run] : runs) {
-    Job* job = FindJob(id.task.job);
-    const bool same_life =
-        first && job != nullptr &&
-        job->Find(id.task)->placement.incarnation == host.incarnation;
-    if (!same_life) {
+    if (run.incarnation != host.incarnation) {
       DropRun(host, id, run.latest.checkpoint, false, "the worker restarted");
     }
   }
@@ -113,7 +108,7 @@
 void Scheduler::ApplyEnd(Host& host, const EndedTask& ended) {
   const auto found = host.runs.find(ended.id);
   if (found == host.runs.end()) {
-    return;
+    return ApplyUnexpectedEnd(ended);
   }
   const HostedRun& run = found->second;
   if (ended.how == EndKind::kDone && run.started && !run.best_effort) {
@@ -143,6 +138,21 @@
   }
 }
 
+void Scheduler::ApplyUnexpectedEnd(const EndedTask& ended) {
+  // A copy that an older owner knew of, or a run that was given up on: done is
+  // done, and must not be started again once its end is recorded.
+  Job* job = FindJob(ended.id.task.job);
+  Task* task = job == nullptr ? nullptr : job->Find(ended.id.task);
+  if (task == nullptr || ended.how != EndKind::kDone || !job->active() ||
+      task->phase == TaskPhase::kDone ||
+      job->spec().steps[ended.id.task.step].perpetual) {
+    return;
+  }
+  job->Finish(ended.id.task);
+  StopOtherCopy(*job, ended.id);
+  Touched(*job);
+}
+
 void Scheduler::CountOutcome(Host& host, const TaskRun& id, bool failed) {
   if (!failed) {
     host.failures_in_row = 0;
@@ -175,6 +185,7 @@
       case OrderOutcome::kNoRoom:
       case OrderOutcome::kNoTicket:
         if (!run.started) {
+          AvoidHost(result, host);
           DropRun(host, result.id, {}, false, "the worker refused it");
         }
         break;
@@ -182,6 +193,14 @@
   }
 }
 
+void Scheduler::AvoidHost(const OrderResult& result, const Host& host) {
+  Job* job = FindJob(result.id.task.job);
+  // Want of room passes; a worker that does not take orders may not recover.
+  if (job != nullptr && result.outcome == OrderOutcome::kRefused) {
+    job->Find(result.id.task)->failed_on.push_back(host.id());
+  }
+}
+
 void Scheduler::HandleRunning(Host& host, const HostReport& report) {
   for (const RunningTask& running : report.running) {
     const auto found = host.runs.find(running.id);
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -42,16 +42,14 @@
   Duration move_halted_after{700};
   /// A move costs unsaved work and a start; a run stays at least this long.
   Duration least_stay{1000};
-  /// Tasks of which copies may run get one elsewhere when their host has been
-  /// silent this long.
-  Duration copy_after_silence{1300};
   /// Checkpoints of running tasks are stored this often: so much work is lost
   /// when owner and worker fail at the same moment.
   Duration save_checkpoints_every{1500};
   Duration log_load_every{2000};
-  /// A host that has not been heard for this long gets no new work. Three
-  /// rounds of reports.
-  Duration silence{2500};
+  /// A host that has not been heard for this long gets no new work, and tasks
+  /// of which copies may run get one elsewhere. More than two rounds of
+  /// reports.
+  Duration silence{1300};
   /// Ended jobs are forgotten after this time.
   Duration remember_ended{240000};
   /// Failures in a row of different jobs after which a host is suspected.
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -93,6 +93,54 @@
   LONGS_EQUAL(0, harness.HostsOf(job).size());
 }
 
+TEST(Scheduler, ANewOwnerDoesNotCopyWhatItHasNotHeardOfYet) {
+  harness.AddHost("a", 4);
+  harness.AddHost("b", 4);
+  StepSpec step = MakeStep(2, 1000);
+  step.speculative = true;
+  const JobId job = harness.AddJob("job", step);
+  harness.RunRound();
+  const auto before = harness.HostsOf(job);
+  harness.TakeOver(2);
+  harness.scheduler().OnTick();
+  CHECK(harness.HostsOf(job) == before);
+}
+
+TEST(Scheduler, AnEndOfAnOlderCopyCountsAndStopsTheNewerOne) {
+  harness.AddHost("a", 4);
+  StepSpec step = MakeStep(1, 1000);
+  step.speculative = true;
+  const JobId job = harness.AddJob("job", step);
+  harness.RunRound();
+  harness.AddHost("b", 4);
+  harness.clock().Advance(SchedulerSettings().silence + Duration(1));
+  harness.Report("b");
+  harness.scheduler().OnTick();
+  harness.RunRound();
+  harness.TakeOver(2);
+  // The new owner knows only the newest run.
+  harness.End("a", MakeRun(job, 0, 1), EndKind::kDone);
+  harness.Report("b");
+  CHECK(harness.Orders("b").stops.at(0) == MakeRun(job, 0, 2));
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(job) == JobState::kCompleted);
+}
+
+TEST(Scheduler, AHostThatRefusesAStartIsAvoided) {
+  harness.AddHost("a", 2);
+  harness.AddHost("b", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  // The tightest fit comes first.
+  CHECK(harness.HostsOf(job) == std::vector<std::string>{"a"});
+  harness.report("a").results.push_back(
+      OrderResult{MakeRun(job, 0, 1), OrderOutcome::kRefused});
+  harness.Report("a");
+  harness.scheduler().Place();
+  CHECK(harness.HostsOf(job) == std::vector<std::string>{"b"});
+}
+
 TEST(Scheduler, AnEndThatIsNoFailureCostsNoAttempt) {
   harness.AddHost("a", 4);
   const JobId job = harness.AddJob("job", MakeStep(1, 1000));
--- /dev/null
+++ b/tests/platform_test.py
@@ -0,0 +1,195 @@
+"""Promises on the users' platform, through the real daemons and stand-ins."""
+
+import signal
+import sys
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tools"))
+from platform_site import QUEUE, PlatformSite, wait_for  # noqa: E402
+
+STEPS = [{"count": 3, "cpu": 500, "mem_mb": 100, "estimate_ms": 200},
+         {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 200, "after": [0]}]
+
+
+class Platform(unittest.TestCase):
+
+    def assert_each_task_ran_once_at_a_time(self, site, job):
+        """No two runs of a task overlap, and every task was run."""
+        runs = {}
+        for run in site.runs(job):
+            runs.setdefault(run.task, []).append(run)
+        for task, same in runs.items():
+            same.sort(key=lambda run: run.begun)
+            for before, after in zip(same, same[1:]):
+                self.assertIsNotNone(before.ended, task)
+                self.assertLessEqual(before.ended, after.begun, task)
+        return runs
+
+    def completes(self, site, job, entry=0):
+        wait_for("the job completes", lambda: site.state(job, entry) == "completed")
+        return self.assert_each_task_ran_once_at_a_time(site, job)
+
+    def test_a_job_of_steps_runs_in_order_and_is_shown_by_every_entry(self):
+        with PlatformSite() as site:
+            job = site.submit(STEPS)
+            runs = self.completes(site, job, entry=1)
+            self.assertEqual(5, len(runs))
+            first = max(run.ended for task, same in runs.items() for run in same
+                        if ".0.0." in task)
+            second = min(run.begun for task, same in runs.items() for run in same
+                         if ".0.1." in task)
+            self.assertLessEqual(first, second)
+
+    def test_a_repeated_submission_is_the_same_job(self):
+        with PlatformSite() as site:
+            job = site.submit(STEPS)
+            site.submit(STEPS, entry=1, job=job)
+            self.assertEqual(5, len(self.completes(site, job)))
+            site.submit(STEPS, job=job)
+            self.assertEqual("completed", site.state(job))
+            self.assertEqual(5, len(site.runs(job)))
+
+    def test_unknown_jobs_and_queues_are_told_apart(self):
+        with PlatformSite() as site:
+            self.assertEqual(410, site.call("GET", QUEUE + "0" * 16)[0])
+            self.assertEqual(410, site.call("DELETE", QUEUE + "0" * 16)[0])
+            self.assertEqual(404, site.call("GET", "/nobody/" + "0" * 16)[0])
+            wait_for("waiting jobs are counted",
+                     lambda: site.call("GET", QUEUE) == (200, {"waiting": 0}))
+
+    def test_bad_input_gets_a_typed_error_and_harms_nobody(self):
+        with PlatformSite() as site:
+            for body in [{"spec": 1}, {"spec": "x", "steps": []}, [1, 2],
+                         {"spec": "x", "steps": [{"count": -1}]},
+                         {"spec": "x" * 5000, "steps": STEPS},
+                         {"spec": "x", "steps": [dict(STEPS[0], after=[0])]}]:
+                status, answer = site.call("POST", QUEUE + "a" * 16, body)
+                self.assertEqual(400, status, body)
+                self.assertIn("error", answer)
+            self.assertEqual(400, site.call("POST", QUEUE + "not-an-id", {})[0])
+            self.completes(site, site.submit(STEPS))
+
+    def test_a_cancelled_job_stops_and_stays_cancelled(self):
+        with PlatformSite() as site:
+            job = site.submit(STEPS, seconds=60)
+            wait_for("a task runs", lambda: site.runs(job))
+            self.assertEqual(200, site.call("DELETE", QUEUE + job, entry=1)[0])
+            wait_for("its tasks are stopped",
+                     lambda: all(run.ended for run in site.runs(job)))
+            self.assertEqual("cancelled", site.state(job))
+            site.submit(STEPS, job=job)
+            self.assertEqual("cancelled", site.state(job))
+
+    def test_a_killed_owner_is_succeeded_and_nothing_is_lost_or_doubled(self):
+        with PlatformSite(entries=3) as site:
+            jobs = [site.submit(STEPS, seconds=1.0, entry=n % 3) for n in range(6)]
+            owner = site.owner()
+            owner.kill()
+            other = next(n for n, e in enumerate(site.entries) if e is not owner)
+            for job in jobs:
+                self.assertEqual(5, len(self.completes(site, job, other)))
+
+    def test_a_frozen_owner_wakes_deposed(self):
+        with PlatformSite(entries=3) as site:
+            owner = site.owner()
+            index = site.entries.index(owner)
+            jobs = [site.submit(STEPS, seconds=1.0) for _ in range(4)]
+            owner.child.send_signal(signal.SIGSTOP)
+            wait_for("another entry owns", lambda: site.owner() not in (None, owner))
+            owner.child.send_signal(signal.SIGCONT)
+            for job in jobs:
+                self.completes(site, job, index)
+
+    def test_after_a_kill_of_everything_what_was_accepted_completes(self):
+        with PlatformSite() as site:
+            jobs = [site.submit(STEPS, seconds=1.0) for _ in range(4)]
+            for node in site.entries + site.agents:
+                node.kill()
+            for node in site.agents + site.entries:
+                node.start()
+            for job in jobs:
+                self.completes(site, job)
+
+    def test_a_store_that_is_away_refuses_and_loses_nothing(self):
+        with PlatformSite() as site:
+            job = site.submit(STEPS, seconds=1.0)
+            wait_for("a task runs", lambda: site.runs(job))
+            site.store.mode = "busy"
+            refused = "b" * 16
+            status, _ = site.call("POST", QUEUE + refused, {"spec": "0.1 500", "steps": STEPS})
+            self.assertEqual(503, status)
+            site.store.mode = None
+            self.completes(site, job)
+            self.assertEqual(410, site.call("GET", QUEUE + refused)[0])
+            self.assertEqual([], site.runs(refused))
+
+    def test_answers_lost_by_the_store_are_found_out(self):
+        with PlatformSite() as site:
+            site.store.lose_answers = 4
+            jobs = [site.submit(STEPS) for _ in range(3)]
+            for job in jobs:
+                self.assertEqual(5, len(self.completes(site, job)))
+
+    def test_a_store_that_drops_its_history_and_leases_is_followed_again(self):
+        with PlatformSite() as site:
+            site.store.drop_history()
+            site.store.drop_leases()
+            self.completes(site, site.submit(STEPS))
+            site.configure(2, (QUEUE, "/more/"))
+            wait_for("the new queue is known",
+                     lambda: site.call("GET", "/more/")[0] == 200)
+
+    def test_a_worker_that_restarts_under_its_id_has_lost_its_tasks(self):
+        with PlatformSite(hosts=1) as site:
+            job = site.submit(STEPS, seconds=1.0)
+            wait_for("a task runs", lambda: site.runs(job))
+            site.workers[0].restart()
+            self.completes(site, job)
+
+    def test_orders_carried_out_late_start_nothing(self):
+        with PlatformSite() as site:
+            site.workers[0].answer_late = 1.5
+            job = site.submit(STEPS)
+            time.sleep(0.5)
+            self.completes(site, job)
+
+    def test_an_evacuated_domain_and_a_draining_worker_get_nothing(self):
+        with PlatformSite() as site:
+            site.store.put("op/evacuate/zone-0", {})
+            wait_for("both entries know", lambda: all(
+                "domain taken out" in e.log_path.read_text() for e in site.entries))
+            self.completes(site, site.submit(STEPS))
+            self.assertEqual([], site.workers[0].log)
+            site.store.remove("op/evacuate/zone-0")
+            site.workers[1].draining = True
+            time.sleep(1.0)
+            before = len(site.workers[1].log)
+            self.completes(site, site.submit(STEPS))
+            self.assertEqual(before, len(site.workers[1].log))
+
+    def test_a_planned_stop_answers_what_was_asked(self):
+        with PlatformSite() as site:
+            entry = site.entries[0]
+            entry.child.terminate()
+            wait_for("it says it is not ready", lambda: not site.ready(0))
+            while entry.child.poll() is None:
+                status, _ = site.call("GET", QUEUE)
+                if status is None:
+                    break
+                self.assertIn(status, (200, 503))
+            self.assertEqual(0, entry.child.wait())
+            self.completes(site, site.submit(STEPS, entry=1), entry=1)
+
+    def test_reload_keeps_the_process_and_its_connections(self):
+        with PlatformSite() as site:
+            for node in site.entries + site.agents:
+                node.child.send_signal(signal.SIGHUP)
+            self.completes(site, site.submit(STEPS))
+            for node in site.entries + site.agents:
+                self.assertIsNone(node.child.poll())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/platform_site.py
@@ -0,0 +1,178 @@
+"""Runs zinniacart's daemons on loopback against stand-ins for the platform."""
+
+import http.client
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "standins"))
+import platform_store  # noqa: E402
+import platform_worker  # noqa: E402
+
+NODE = Path(os.environ.get("ZINNIACART_BUILD", ROOT / "build")) / "platform/zinniacart-node"
+HOST_HEADER = "site.example"
+QUEUE = "/orders/"
+PATIENCE_SECONDS = 30
+
+
+def free_ports(count):
+    """Reserves ports that the kernel chooses; they are free once returned."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def wait_for(what, check, patience=PATIENCE_SECONDS):
+    """Polls `check` until it holds; how long that takes is not judged."""
+    until = time.monotonic() + patience
+    while time.monotonic() < until:
+        result = check()
+        if result:
+            return result
+        time.sleep(0.05)
+    raise AssertionError(f"in {patience} s it did not happen that {what}")
+
+
+class Node:
+    """One daemon and its settings."""
+
+    def __init__(self, site, role, name, zone, extra):
+        self.role, self.name = role, name
+        self.ports = free_ports(4)
+        settings = {
+            "node_name": name, "ip": "127.0.0.1", "zone": zone,
+            # Agents listen on the second of these ports, entries on the first.
+            "internal_ports": [self.ports[0] - (role == "agent"), self.ports[0] + 15],
+            "limits": {"cpu_share": 0.5},
+            "bounds": {"grace_s": 6, "hold_max_ms": 10000},
+            "platform": {"address": site.store_address, "ttl_min_ms": 1000},
+            "listen": {}}
+        if role == "entry":
+            settings["listen"] = {"front": f"127.0.0.1:{self.ports[1]}",
+                                  "ready": f"127.0.0.1:{self.ports[2]}"}
+        else:
+            settings["listen"] = {"control": f"127.0.0.1:{self.ports[3]}"}
+        settings.update(extra)
+        self.settings_path = Path(site.folder) / f"{name}.json"
+        self.settings_path.write_text(json.dumps(settings))
+        self.log_path = Path(site.folder) / f"{name}.log"
+        self.child = None
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.child = subprocess.Popen(
+                [str(NODE), self.role, "--settings", str(self.settings_path)],
+                stdout=log, stderr=log)
+
+    def kill(self):
+        self.child.kill()
+        self.child.wait()
+
+    def stop(self):
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.terminate()
+        return self.child.wait()
+
+
+class PlatformSite:
+    """A store, some workers with their agents, some entries."""
+
+    def __init__(self, entries=2, hosts=2, cores=4):
+        self.folder = tempfile.mkdtemp(prefix="zinniacart-")
+        self.store = platform_store.Store()
+        port = platform_store.serve(self.store).server_address[1]
+        self.store_address = f"127.0.0.1:{port}"
+        self.configure(1)
+        self.workers, self.agents, self.entries = [], [], []
+        for number in range(hosts):
+            worker = platform_worker.Worker(f"w{number}", f"zone-{number}", "orders", cores)
+            worker.serve()
+            agent = Node(self, "agent", f"host-{number}", worker.zone,
+                         {"app": f"127.0.0.1:{worker.port}", "service": "orders"})
+            worker.control = f"127.0.0.1:{agent.ports[3]}"
+            agent.start()
+            self.workers.append(worker)
+            self.agents.append(agent)
+        for number in range(entries):
+            entry = Node(self, "entry", f"entry-{number}", f"zone-{number}", {})
+            entry.start()
+            self.entries.append(entry)
+        for number in range(entries):
+            wait_for("the entry is ready", lambda: self.ready(number))
+        wait_for("somebody owns the scheduling", self.owner)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for node in self.entries + self.agents:
+            if node.child.poll() is None:
+                node.kill()
+
+    def configure(self, version, queues=(QUEUE,)):
+        self.store.put("op/config", {
+            "version": version,
+            "routes": [{"name": f"queue-{prefix}", "host": HOST_HEADER, "prefix": prefix,
+                        "kind": "unsafe", "timeout_ms": 3000, "objective_ms": 300,
+                        "priority": 0, "service": "orders", "max_attempts": 2,
+                        "stretch": 1.5} for prefix in queues],
+            "services": [{"name": "orders", "rejects_overload": True, "spare": False}],
+            "limits": {}})
+
+    def owner(self):
+        record = self.store.value("zinniacart/entries/owner")
+        names = {entry.name: entry for entry in self.entries}
+        return names.get(record["entry"]) if record else None
+
+    def ready(self, entry):
+        try:
+            return self._request(self.entries[entry].ports[2], "GET", "/v1/ready")[0] == 200
+        except OSError:
+            return False
+
+    def call(self, method, path, body=None, entry=0, timeout=4):
+        """@returns status and body, or (None, reason) where no answer came."""
+        try:
+            return self._request(self.entries[entry].ports[1], method, path, body, timeout)
+        except (OSError, http.client.HTTPException) as error:
+            return None, str(error)
+
+    def submit(self, steps, seconds=0.2, entry=0, job=None):
+        """Submits until it is accepted. @returns the job's id."""
+        job = job or secrets.token_hex(8)
+        millicores = steps[0]["cpu"]
+        body = {"spec": f"{seconds} {millicores}", "steps": steps}
+        wait_for("the job is accepted", lambda: self.call(
+            "POST", QUEUE + job, body, entry)[0] == 200)
+        return job
+
+    def state(self, job, entry=0):
+        status, body = self.call("GET", QUEUE + job, entry=entry)
+        return body.get("state") if status == 200 else None
+
+    def runs(self, job):
+        return [run for worker in self.workers for run in worker.log
+                if run.task.startswith(job)]
+
+    def _request(self, port, method, path, body=None, timeout=4):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+        try:
+            connection.request(method, path, json.dumps(body) if body else None,
+                               {"Host": HOST_HEADER, "Content-Type": "application/json",
+                                "Zinniacart-Deadline-Ms": str(int(timeout * 1000))})
+            response = connection.getresponse()
+            text = response.read()
+            return response.status, json.loads(text) if text else {}
+        finally:
+            connection.close()
