--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -357,9 +357,14 @@
 }
 
 HostReport HostSupervisor::MakeReport() {
+  ++m_sequence;
+  return Snapshot();
+}
+
+HostReport HostSupervisor::Snapshot() const {
   HostReport report;
   report.agent = m_agent;
-  report.sequence = ++m_sequence;
+  report.sequence = m_sequence;
   report.stamp = m_clock.Now();
   report.epoch = m_epoch;
   report.incarnation = m_incarnation;
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -51,7 +51,10 @@
   /// @returns the calls that are due, each once.
   std::vector<WorkerCall> TakeCalls();
 
+  /// @returns the next report to the owner.
   HostReport MakeReport();
+  /// @returns what a report would say now, without counting as one.
+  HostReport Snapshot() const;
   /// Grows with each change that the owner should hear of at once.
   std::uint64_t news() const { return m_news; }
   /// @returns whether the lists were taken under the newest epoch.
--- /dev/null
+++ b/packages/site/node_metrics.cc
@@ -0,0 +1,46 @@
+#include "site/node_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace zinniacart {
+namespace {
+
+constexpr double kMillisecondsPerSecond = 1000.0;
+
+/// Bounds in seconds, from one store call to a caller's whole patience.
+const prometheus::Histogram::BucketBoundaries kSeconds{
+    0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1,
+    0.15,  0.2,   0.3,  0.5,  0.75, 1.0,  2.0,   3.0};
+
+}  // namespace
+
+NodeMetrics::NodeMetrics()
+    : m_registry(std::make_shared<prometheus::Registry>()),
+      m_requests(prometheus::BuildHistogram()
+                     .Name("zinniacart_request_seconds")
+                     .Help("Time to the answer, by kind and outcome")
+                     .Register(*m_registry)) {}
+
+void NodeMetrics::CountRequest(const std::string& kind,
+                               const std::string& outcome,
+                               Duration took) {
+  m_requests.Add({{"kind", kind}, {"outcome", outcome}}, kSeconds)
+      .Observe(static_cast<double>(took.count()) / kMillisecondsPerSecond);
+}
+
+void NodeMetrics::Set(const std::string& name,
+                      const std::string& help,
+                      double value) {
+  prometheus::BuildGauge()
+      .Name(name)
+      .Help(help)
+      .Register(*m_registry)
+      .Add({})
+      .Set(value);
+}
+
+std::string NodeMetrics::Write() const {
+  return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+}  // namespace zinniacart
