Place the largest perpetual tasks first

After the loss of power 43 perpetual tasks came at once to two domains, oldest job first, and the large ones found only gaps.

Ruled out: anti-affinity (the jobs concerned have none), headroom (less than one such task).

Change: perpetual steps are ordered by size, after the tasks that end. A test replays the load, red with the order of before.

--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -8,6 +8,8 @@
 
 /// Each level of priority comes before all urgencies of the next one.
 constexpr double kPriorityWeight = 1e9;
+/// Perpetual tasks come after those that end, which leave their room again.
+constexpr double kPerpetualUrgency = 1e8;
 
 }  // namespace
 
@@ -65,6 +67,15 @@
 
 double Scheduler::UrgencyOf(const Job& job, std::uint32_t step) const {
   const QueuePolicy& policy = job.policy();
+  const StepSpec& declared = job.spec().steps[step];
+  if (declared.perpetual) {
+    // Load it answers: all perpetual tasks come at once after a loss of power,
+    // to fewer hosts than before. The largest first, or they find no room
+    // between the small ones.
+    const double size = static_cast<double>(declared.count) *
+                        static_cast<double>(declared.demand.millicores);
+    return kPriorityWeight * policy.priority + kPerpetualUrgency - size;
+  }
   const double objective =
       policy.stretch *
           static_cast<double>(LongestChainEstimate(job.spec()).count()) +
--- a/packages/scheduling/tests/host_health_test.cc
+++ b/packages/scheduling/tests/host_health_test.cc
@@ -131,6 +131,22 @@
   LONGS_EQUAL(5000, headroom.Reserve());
 }
 
+// Load: after a loss of power all perpetual tasks come at once, to fewer
+// hosts than before.
+TEST(Headroom, LargePerpetualTasksAreNotStarvedBySmallOnes) {
+  SchedulerHarness harness;
+  StepSpec small = MakeStep(8, 1500);
+  small.perpetual = true;
+  harness.AddJob("a-small", small);
+  StepSpec large = MakeStep(3, 5000);
+  large.perpetual = true;
+  const JobId job = harness.AddJob("b-large", large);
+  harness.AddHost("a", 10);
+  harness.AddHost("b", 8);
+  harness.RunRound();
+  LONGS_EQUAL(3, harness.HostsOf(job).size());
+}
+
 // Load: perpetual tasks ask for more than there is, then short ones come.
 TEST(Headroom, PerpetualTasksLeaveRoomToShortOnes) {
   SchedulerHarness harness;
