Rename packages/platform to packages/ports

The folder platform/ at the root speaks the users' platform now; the package holds the product's own ports to a store and a worker and their HTTP plumbing.

--- a/packages/agent/agent_daemon.cc
+++ b/packages/agent/agent_daemon.cc
@@ -23,8 +23,8 @@
 #include "agent/supervisor_driver.h"
 #include "base/logging.h"
 #include "placement/wire_conversion.h"
-#include "platform/http_server.h"
-#include "platform/http_worker.h"
+#include "ports/http_server.h"
+#include "ports/http_worker.h"
 #include "rpc/server_builder.h"
 
 namespace zinniacart {
--- a/packages/agent/backend_server.h
+++ b/packages/agent/backend_server.h
@@ -8,7 +8,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/ids.h"
-#include "platform/http_endpoint.h"
+#include "ports/http_endpoint.h"
 #include "routing/request_ledger.h"
 
 namespace httplib {
--- a/packages/agent/supervisor_driver.h
+++ b/packages/agent/supervisor_driver.h
@@ -11,7 +11,7 @@
 #include "base/clock.h"
 #include "configuration/configuration.h"
 #include "placement/task_supervisor.h"
-#include "platform/worker.h"
+#include "ports/worker.h"
 #include "zinniacart.pb.h"
 
 namespace zinniacart {
--- a/packages/cli/load_generator.cc
+++ b/packages/cli/load_generator.cc
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "platform/http_endpoint.h"
+#include "ports/http_endpoint.h"
 
 namespace zinniacart {
 namespace {
--- a/packages/cli/operator_client.h
+++ b/packages/cli/operator_client.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "base/error.h"
-#include "platform/http_client.h"
+#include "ports/http_client.h"
 
 namespace zinniacart {
 
--- a/packages/configuration/configuration_writer.h
+++ b/packages/configuration/configuration_writer.h
@@ -4,7 +4,7 @@
 
 #include "base/clock.h"
 #include "configuration/configuration.h"
-#include "platform/store.h"
+#include "ports/store.h"
 
 namespace zinniacart {
 
--- a/packages/entry/caller_frontend.h
+++ b/packages/entry/caller_frontend.h
@@ -7,7 +7,7 @@
 #include "base/error.h"
 #include "entry/idempotency_keys.h"
 #include "entry/request_dispatcher.h"
-#include "platform/http_server.h"
+#include "ports/http_server.h"
 
 namespace httplib {
 struct Request;
--- a/packages/entry/configuration_follower.h
+++ b/packages/entry/configuration_follower.h
@@ -5,7 +5,7 @@
 
 #include "base/clock.h"
 #include "entry/entry_state.h"
-#include "platform/store.h"
+#include "ports/store.h"
 
 namespace zinniacart {
 
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -22,7 +22,7 @@
 #include "entry/placement_driver.h"
 #include "entry/request_dispatcher.h"
 #include "entry/session_keeper.h"
-#include "platform/http_store.h"
+#include "ports/http_store.h"
 #include "rpc/server_builder.h"
 
 namespace zinniacart {
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
-#include "platform/http_endpoint.h"
+#include "ports/http_endpoint.h"
 
 namespace zinniacart {
 
--- a/packages/entry/idempotency_keys.h
+++ b/packages/entry/idempotency_keys.h
@@ -5,7 +5,7 @@
 
 #include "base/clock.h"
 #include "entry/request_dispatcher.h"
-#include "platform/store.h"
+#include "ports/store.h"
 #include "routing/request_ledger.h"
 #include "zinniacart.pb.h"
 
--- a/packages/entry/operator_frontend.h
+++ b/packages/entry/operator_frontend.h
@@ -6,8 +6,8 @@
 
 #include "base/clock.h"
 #include "entry/entry_state.h"
-#include "platform/http_server.h"
-#include "platform/store.h"
+#include "ports/http_server.h"
+#include "ports/store.h"
 
 namespace httplib {
 struct Request;
--- a/packages/entry/placement_driver.h
+++ b/packages/entry/placement_driver.h
@@ -11,7 +11,7 @@
 #include "base/clock.h"
 #include "entry/configuration_follower.h"
 #include "entry/entry_state.h"
-#include "platform/store.h"
+#include "ports/store.h"
 #include "rpc/channel_pool.h"
 #include "zinniacart.pb.h"
 
--- a/packages/entry/session_keeper.h
+++ b/packages/entry/session_keeper.h
@@ -8,7 +8,7 @@
 #include "entry/entry_settings.h"
 #include "entry/entry_state.h"
 #include "placement/placement_times.h"
-#include "platform/store.h"
+#include "ports/store.h"
 
 namespace zinniacart {
 
--- a/packages/placement/shard.h
+++ b/packages/placement/shard.h
@@ -15,7 +15,7 @@
 #include "placement/placement_times.h"
 #include "placement/shard_change.h"
 #include "placement/shard_record.h"
-#include "platform/store.h"
+#include "ports/store.h"
 
 namespace zinniacart {
 
--- a/packages/placement/simulation/fake_store.h
+++ b/packages/placement/simulation/fake_store.h
@@ -8,7 +8,7 @@
 #include "base/error.h"
 #include "configuration/configuration.h"
 #include "placement/simulation/event_queue.h"
-#include "platform/store.h"
+#include "ports/store.h"
 
 namespace zinniacart::simulation {
 
--- a/packages/placement/simulation/fake_worker.h
+++ b/packages/placement/simulation/fake_worker.h
@@ -6,7 +6,7 @@
 #include "placement/simulation/event_queue.h"
 #include "placement/simulation/node_clock.h"
 #include "placement/simulation/oracle.h"
-#include "platform/worker.h"
+#include "ports/worker.h"
 
 namespace zinniacart::simulation {
 
--- a/packages/placement/task_supervisor.h
+++ b/packages/placement/task_supervisor.h
@@ -11,7 +11,7 @@
 #include "placement/host_ledger.h"
 #include "placement/messages.h"
 #include "placement/placement_times.h"
-#include "platform/worker.h"
+#include "ports/worker.h"
 
 namespace zinniacart {
 
--- a/packages/platform/elastic_task_queue.cc
+++ b/packages/ports/elastic_task_queue.cc
@@ -1,4 +1,4 @@
-#include "platform/elastic_task_queue.h"
+#include "ports/elastic_task_queue.h"
 
 #include <chrono>
 #include <thread>
--- a/packages/platform/http_client.cc
+++ b/packages/ports/http_client.cc
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "ports/http_client.h"
 
 #include <httplib.h>
 
--- a/packages/platform/http_client.h
+++ b/packages/ports/http_client.h
@@ -7,7 +7,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
-#include "platform/http_endpoint.h"
+#include "ports/http_endpoint.h"
 
 namespace httplib {
 class Client;
--- a/packages/platform/http_endpoint.cc
+++ b/packages/ports/http_endpoint.cc
@@ -1,4 +1,4 @@
-#include "platform/http_endpoint.h"
+#include "ports/http_endpoint.h"
 
 #include <arpa/inet.h>
 
--- a/packages/platform/http_server.cc
+++ b/packages/ports/http_server.cc
@@ -1,10 +1,10 @@
-#include "platform/http_server.h"
+#include "ports/http_server.h"
 
 #include <httplib.h>
 
 #include <limits>
 
-#include "platform/elastic_task_queue.h"
+#include "ports/elastic_task_queue.h"
 
 namespace zinniacart {
 namespace {
--- a/packages/platform/http_server.h
+++ b/packages/ports/http_server.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <thread>
 
-#include "platform/http_endpoint.h"
+#include "ports/http_endpoint.h"
 
 namespace httplib {
 class Server;
--- a/packages/platform/http_store.cc
+++ b/packages/ports/http_store.cc
@@ -1,4 +1,4 @@
-#include "platform/http_store.h"
+#include "ports/http_store.h"
 
 #include <cstdlib>
 #include <nlohmann/json.hpp>
--- a/packages/platform/http_store.h
+++ b/packages/ports/http_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/http_client.h"
-#include "platform/store.h"
+#include "ports/http_client.h"
+#include "ports/store.h"
 
 namespace zinniacart {
 
--- a/packages/platform/http_worker.cc
+++ b/packages/ports/http_worker.cc
@@ -1,4 +1,4 @@
-#include "platform/http_worker.h"
+#include "ports/http_worker.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/packages/platform/http_worker.h
+++ b/packages/ports/http_worker.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/http_client.h"
-#include "platform/worker.h"
+#include "ports/http_client.h"
+#include "ports/worker.h"
 
 namespace zinniacart {
 
--- a/standins/backend_main.cc
+++ b/standins/backend_main.cc
@@ -8,8 +8,8 @@
 #include <string>
 #include <thread>
 
-#include "platform/http_client.h"
-#include "platform/http_server.h"
+#include "ports/http_client.h"
+#include "ports/http_server.h"
 #include "standin_process.h"
 
 namespace zinniacart::standin {
--- a/standins/store_main.cc
+++ b/standins/store_main.cc
@@ -10,7 +10,7 @@
 #include <thread>
 
 #include "base/clock.h"
-#include "platform/http_server.h"
+#include "ports/http_server.h"
 #include "standin_process.h"
 
 namespace zinniacart::standin {
--- a/standins/worker_main.cc
+++ b/standins/worker_main.cc
@@ -8,8 +8,8 @@
 #include <string>
 
 #include "base/clock.h"
-#include "platform/http_server.h"
-#include "platform/worker.h"
+#include "ports/http_server.h"
+#include "ports/worker.h"
 #include "standin_process.h"
 
 namespace zinniacart::standin {
