--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -148,7 +148,7 @@
       !lists.ended.empty() &&
       (m_ended.empty() || lists.ended.back().number > m_ended.back().number);
   m_ended = lists.ended;
-  ResolveUnanswered(call, lists);
+  ResolveUnanswered(lists);
   const bool newly_listed = !m_listed && call.token == m_epoch;
   m_listed = m_listed || newly_listed;
   if (new_ends || newly_listed) {
@@ -156,8 +156,7 @@
   }
 }
 
-void HostSupervisor::ResolveUnanswered(const HoldCall&,
-                                       const WorkerLists& lists) {
+void HostSupervisor::ResolveUnanswered(const WorkerLists& lists) {
   for (auto& [id, start] : m_starts) {
     if (start.phase != StartPhase::kUnanswered) {
       continue;
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -60,9 +60,6 @@
   /// @returns whether the lists were taken under the newest epoch.
   bool listed() const { return m_listed; }
   Epoch epoch() const { return m_epoch; }
-  const std::optional<WorkerIncarnation>& incarnation() const {
-    return m_incarnation;
-  }
 
  private:
   enum class StartPhase { kWaiting, kSent, kUnanswered, kResolved };
@@ -90,7 +87,7 @@
   void AdoptEpoch(Epoch epoch);
   void AdoptIncarnation(const WorkerIncarnation& incarnation);
   void ApplyLists(const HoldCall& call, const WorkerLists& lists);
-  void ResolveUnanswered(const HoldCall& call, const WorkerLists& lists);
+  void ResolveUnanswered(const WorkerLists& lists);
   void Resolve(Start& start, OrderOutcome outcome);
   void ForgetOldResults();
   std::optional<HoldCall> NextHold();
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -108,7 +108,7 @@
                         std::uint32_t step) const;
   /// @returns whether new work may go here.
   bool Usable(Instant now) const;
-  /// @returns the rack among the labels, empty where there is none.
+  /// @returns whether the worker has the label: its kind, its rack.
   bool HasLabel(const std::string& label) const;
 
  private:
--- a/packages/scheduling/ownership.h
+++ b/packages/scheduling/ownership.h
@@ -84,7 +84,6 @@
   Epoch epoch() const { return m_epoch.value_or(Epoch()); }
   std::uint64_t epoch_revision() const { return m_epoch_revision; }
   const LeaseId& lease() const { return m_lease; }
-  const OwnershipView& view() const { return m_view; }
   /// @returns whether the ownership was confirmed within `window`.
   bool ConfirmedWithin(Duration window) const;
 
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -131,8 +131,7 @@
     const PlacementRequest request{job,
                                    TaskKey{job.id(), occurrence, step, index},
                                    declared, tasks.tasks[index]};
-    PlacementView open = view;
-    const auto host = ChooseHost(open, request, taken);
+    const auto host = ChooseHost(view, request, taken);
     if (!host) {
       return std::nullopt;
     }
--- a/packages/site/prefix_follower.h
+++ b/packages/site/prefix_follower.h
@@ -30,8 +30,6 @@
   void Start();
   void Stop();
 
-  bool synchronized() const { return m_synchronized; }
-
  private:
   void List();
   void Watch();
