Keep a gang of one rack within one rack

Cause: found by reading: a gang that wants one rack tried each label in turn, and the worker's kind, which all hosts share, counted as a rack; it also replaced the label that the step requires.

Change: the rack is decoded at the platform's boundary into a field of its own, and a placement may be bound to a rack beside its label. Test red before (the gang was spread over two racks).

--- a/packages/scheduling/host_messages.h
+++ b/packages/scheduling/host_messages.h
@@ -24,6 +24,7 @@
   ServiceId service;
   Resources capacity;
   std::vector<std::string> labels;
+  std::string rack;  ///< One of the labels.
   bool draining = false;
   /// While draining: it stays at least this much longer.
   std::optional<Duration> remaining;
--- a/packages/scheduling/host_messages_codec.cc
+++ b/packages/scheduling/host_messages_codec.cc
@@ -27,7 +27,8 @@
            {"capacity",
             json::array({facts.capacity.millicores, facts.capacity.memory_mb,
                          facts.capacity.accelerators})},
-           {"labels", facts.labels}};
+           {"labels", facts.labels},
+           {"rack", facts.rack}};
   if (facts.draining) {
     row["draining"] = true;
   }
@@ -47,6 +48,7 @@
   const json& capacity = row.at("capacity");
   facts.capacity = Resources{capacity.at(0), capacity.at(1), capacity.at(2)};
   facts.labels = row.at("labels").get<std::vector<std::string>>();
+  facts.rack = row.at("rack");
   facts.draining = row.value("draining", false);
   if (row.contains("remaining_ms")) {
     facts.remaining = Duration(row["remaining_ms"].get<std::int64_t>());
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -34,6 +34,7 @@
   return host.Usable(view.now) &&
          host.facts->service == request.job.policy().service &&
          !view.evacuated.contains(host.facts->domain) &&
+         (request.rack.empty() || host.facts->rack == request.rack) &&
          (step.required_label.empty() || host.HasLabel(step.required_label));
 }
 
@@ -120,17 +121,15 @@
                                            std::uint32_t step,
                                            const std::string& rack) {
   const StepTasks& tasks = job.At(occurrence, step);
-  StepSpec declared = job.spec().steps[step];
-  if (!rack.empty()) {
-    declared.required_label = rack;
-  }
+  const StepSpec& declared = job.spec().steps[step];
   RoomTaken taken;
   std::map<HostId, std::uint32_t> count;
   std::vector<HostId> chosen;
   for (std::uint32_t index = 0; index < tasks.tasks.size(); ++index) {
-    const PlacementRequest request{job,
-                                   TaskKey{job.id(), occurrence, step, index},
-                                   declared, tasks.tasks[index]};
+    const PlacementRequest request{
+        job,      TaskKey{job.id(), occurrence, step, index},
+        declared, tasks.tasks[index],
+        false,    rack};
     const auto host = ChooseHost(view, request, taken);
     if (!host) {
       return std::nullopt;
@@ -144,14 +143,14 @@
   return chosen;
 }
 
-std::set<std::string> LabelsOf(const PlacementView& view) {
-  std::set<std::string> labels;
+std::set<std::string> RacksOf(const PlacementView& view) {
+  std::set<std::string> racks;
   for (const auto& [id, host] : view.hosts) {
-    if (host.facts) {
-      labels.insert(host.facts->labels.begin(), host.facts->labels.end());
+    if (host.facts && !host.facts->rack.empty()) {
+      racks.insert(host.facts->rack);
     }
   }
-  return labels;
+  return racks;
 }
 
 }  // namespace
@@ -187,8 +186,8 @@
                                                    std::uint32_t occurrence,
                                                    std::uint32_t step) {
   if (job.spec().steps[step].same_rack) {
-    for (const std::string& label : LabelsOf(view)) {
-      if (auto hosts = FitGang(view, job, occurrence, step, label)) {
+    for (const std::string& rack : RacksOf(view)) {
+      if (auto hosts = FitGang(view, job, occurrence, step, rack)) {
         return hosts;
       }
     }
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -29,6 +29,7 @@
   /// Best-effort work of a job that has waited long without a task at work
   /// goes even where it must be slowed.
   bool anywhere = false;
+  std::string rack{};  ///< Only hosts of this rack; empty: any.
 };
 
 /// Room already promised within one decision, by host.
--- a/packages/scheduling/tests/scheduler_harness.h
+++ b/packages/scheduling/tests/scheduler_harness.h
@@ -24,7 +24,9 @@
   }
 
   /// Adds a host of `cores` whole cores and reports it empty.
-  void AddHost(const std::string& name, int cores) {
+  void AddHost(const std::string& name,
+               int cores,
+               const std::string& rack = "rack") {
     m_scheduler.AddHost(HostId(name));
     HostReport& report = m_reports[name];
     report.agent = Incarnation(1);
@@ -37,7 +39,8 @@
     facts.domain = DomainId("domain-" + name);
     facts.service = ServiceId("service");
     facts.capacity = Resources{cores * 1000, 64000, 0};
-    facts.labels = {"a", "rack-" + name};
+    facts.labels = {"a", rack};
+    facts.rack = rack;
     report.facts = facts;
     Report(name);
   }
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -335,6 +335,23 @@
   CHECK(harness.scheduler().StateOf(fits) == JobState::kCompleted);
 }
 
+TEST(Scheduler, AGangOfOneRackStaysInOneThatHoldsItWhole) {
+  harness.AddHost("a", 2, "rack-1");
+  harness.AddHost("b", 3, "rack-2");
+  harness.AddHost("c", 3, "rack-2");
+  StepSpec step = MakeStep(4, 1000);
+  step.gang = true;
+  step.same_rack = true;
+  step.required_label = "a";
+  const JobId job = harness.AddJob("job", step);
+  harness.RunRound();
+  const auto hosts = harness.HostsOf(job);
+  LONGS_EQUAL(4, hosts.size());
+  for (const std::string& host : hosts) {
+    CHECK(host == "b" || host == "c");
+  }
+}
+
 TEST(Scheduler, TasksThatMustBeApartAreApart) {
   harness.AddHost("a", 8);
   harness.AddHost("b", 8);
