Make the test of a new owner's copies able to fail

Change: the test also demands that no stop is ordered once the hosts report and that nothing is placed anew. Its old check stays. No product code changes.

--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -104,6 +104,12 @@
   harness.TakeOver(2);
   harness.scheduler().OnTick();
   CHECK(harness.HostsOf(job) == before);
+  harness.Report("a");
+  harness.Report("b");
+  LONGS_EQUAL(0, harness.Orders("a").stops.size());
+  LONGS_EQUAL(0, harness.Orders("b").stops.size());
+  harness.RunRound();
+  CHECK(harness.HostsOf(job) == before);
 }
 
 TEST(Scheduler, AnEndOfAnOlderCopyCountsAndStopsTheNewerOne) {
