Do not take a predecessor's lease for lapsed

A new agent had asked for no lease itself, so any failed hold made it report that the worker's lease had lapsed, although its predecessor had extended that lease just before the kill; the owner then placed the tasks again. The hold failed because a fresh agent's first call, under no epoch, is refused by the fence, and that refusal may come in after the lists that the new owner's call got.

Change: an agent reckons with a lease up to its own start plus the lease length; an answer to an older hold than the newest list says nothing.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -18,7 +18,11 @@
 HostSupervisor::HostSupervisor(Incarnation agent,
                                SupervisorSettings settings,
                                const Clock& clock)
-    : m_agent(agent), m_settings(settings), m_clock(clock) {}
+    : m_agent(agent),
+      m_settings(settings),
+      m_clock(clock),
+      // An agent that ran here before may have asked for a lease until now.
+      m_lease_asked(clock.Now() + settings.times.lease) {}
 
 void HostSupervisor::OnAnnouncement(const WorkerFacts& facts,
                                     std::uint64_t sequence) {
@@ -100,6 +104,9 @@
   if (call.wait.count() > 0) {
     m_hold_in_flight = false;
   }
+  if (call.id < m_newest_list) {
+    return;
+  }
   if (!lists) {
     if (m_reachable) {
       Changed();
@@ -108,9 +115,6 @@
     m_hold_not_before = m_clock.Now() + m_settings.retry;
     return;
   }
-  if (call.id < m_newest_list) {
-    return;
-  }
   m_newest_list = call.id;
   if (!m_reachable) {
     Changed();
--- a/packages/hosting/tests/host_supervisor_test.cc
+++ b/packages/hosting/tests/host_supervisor_test.cc
@@ -18,13 +18,17 @@
 
 TEST_GROUP(HostSupervisor) {
   ManualClock clock;
+  // The host was up for a while before its agent began.
+  const Instant began = [this] {
+    clock.Advance(Duration(100000));
+    return clock.Now();
+  }();
   SupervisorSettings settings;
   HostSupervisor supervisor{Incarnation(1), SupervisorSettings(), clock};
   HostOrders orders;
   WorkerLists lists;
 
   void setup() override {
-    clock.Advance(Duration(100000));
     orders.epoch = Epoch(3);
     orders.incarnation = kLife;
     lists.incarnation = kLife;
@@ -321,3 +325,42 @@
   CHECK_FALSE(report.worker_reachable);
   CHECK(report.lease_lapsed);
 }
+
+// Everything was killed: the agent is new, the tasks that its predecessor held
+// are not.
+TEST(HostSupervisor, ANewAgentDoesNotTakeItsPredecessorsLeaseForLapsed) {
+  // A new owner grants nothing in its first orders.
+  CHECK(supervisor.OnOrders(orders).has_value());
+  Exchange();
+  CHECK(supervisor.listed());
+  Pass(Duration(500));
+  const auto lose_worker = [this] {
+    for (const WorkerCall& call : supervisor.TakeCalls()) {
+      supervisor.OnHoldAnswered(std::get<HoldCall>(call),
+                                Fail(ErrorCode::kUnreachable, "reset"));
+    }
+  };
+  lose_worker();
+  CHECK_FALSE(supervisor.MakeReport().worker_reachable);
+  CHECK_FALSE(supervisor.MakeReport().lease_lapsed);
+  Pass(settings.times.LapseTime());
+  lose_worker();
+  CHECK(supervisor.MakeReport().lease_lapsed);
+}
+
+TEST(HostSupervisor, ARefusalThatIsOvertakenByANewerListSaysNothing) {
+  // The first call knows no owner yet; the worker refuses it, and that answer
+  // comes after the lists that the new owner's call got.
+  std::vector<HoldCall> holds;
+  for (const WorkerCall& call : supervisor.TakeCalls()) {
+    holds.push_back(std::get<HoldCall>(call));
+  }
+  CHECK(Order());
+  Exchange();
+  CHECK(supervisor.MakeReport().worker_reachable);
+  supervisor.OnHoldAnswered(holds.at(0),
+                            Fail(ErrorCode::kUnreachable, "409 fence"));
+  const HostReport report = supervisor.MakeReport();
+  CHECK(report.worker_reachable);
+  CHECK_FALSE(report.lease_lapsed);
+}
