Learn interference in margins, pack serving tasks, order and time jobs

A tail grows out of all proportion with load, so what was learned of a pair of images at one load was wrong at any other. Single serving tasks were spread over all hosts, so that no host was left to work that disturbs them. Under a burst the order by time to spare made most batch jobs a little late, by estimates that are off by up to 20 times.

Change: InterferenceModel and ServingLoad estimate the loss of margin, target over tail, as a Kalman filter does; HostPacing plans for the load that is coming and halts only where the plan stays wrong; Consolidation empties the hosts with the fewest serving tasks; RankOf puts what is too late after what can be saved; RunTimeModel weighs declared against usual times.

--- a/packages/base/resources.h
+++ b/packages/base/resources.h
@@ -16,6 +16,11 @@
   Resources operator+(const Resources& other) const;
   Resources operator-(const Resources& other) const;
 
+  /// @returns the processors as a number of cores.
+  double cores() const {
+    constexpr double kMillicoresPerCore = 1000.0;
+    return static_cast<double>(millicores) / kMillicoresPerCore;
+  }
   /// @returns whether this amount fits into `room` in each dimension.
   bool FitsIn(const Resources& room) const;
   /// @returns whether no dimension is negative.
--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -381,6 +381,7 @@
     report.facts = facts->second.first;
   }
   report.listed = m_listed;
+  report.list_number = m_newest_list;
   report.worker_reachable = m_reachable;
   report.lease_lapsed = LeaseLapsed();
   for (const auto& [id, listed] : m_running) {
--- a/packages/jobs/job_spec.cc
+++ b/packages/jobs/job_spec.cc
@@ -61,10 +61,16 @@
   return {};
 }
 
-Duration ChainEstimate(const JobSpec& spec, std::uint32_t first_step) {
+Duration DeclaredTime(const StepSpec& step) {
+  return step.estimate;
+}
+
+Duration ChainEstimate(const JobSpec& spec,
+                       std::uint32_t first_step,
+                       const StepTime& time) {
   std::vector<Duration> to_end(spec.steps.size(), Duration(0));
   for (std::size_t number = spec.steps.size(); number-- > first_step;) {
-    to_end[number] += spec.steps[number].estimate;
+    to_end[number] += time(spec.steps[number]);
     for (const std::uint32_t earlier : spec.steps[number].after) {
       to_end[earlier] = std::max(to_end[earlier], to_end[number]);
     }
@@ -72,10 +78,10 @@
   return to_end[first_step];
 }
 
-Duration LongestChainEstimate(const JobSpec& spec) {
+Duration LongestChainEstimate(const JobSpec& spec, const StepTime& time) {
   Duration longest{0};
   for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
-    longest = std::max(longest, ChainEstimate(spec, step));
+    longest = std::max(longest, ChainEstimate(spec, step, time));
   }
   return longest;
 }
--- a/packages/jobs/job_spec.h
+++ b/packages/jobs/job_spec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -64,11 +65,20 @@
 /// @returns `kInvalidArgument` naming the field that is at fault.
 Result<void> Validate(const JobSpec& spec, const JobLimits& limits = {});
 
-/// @returns the estimated time of the longest chain of steps from the start
-/// of `first_step` to the end of the job, without waiting.
-Duration ChainEstimate(const JobSpec& spec, std::uint32_t first_step);
+/// How long a task of a step is expected to run.
+using StepTime = std::function<Duration(const StepSpec&)>;
 
-/// @returns the estimated time of the job's longest chain of steps.
-Duration LongestChainEstimate(const JobSpec& spec);
+/// @returns what callers declare.
+Duration DeclaredTime(const StepSpec& step);
+
+/// @returns the expected time of the longest chain of steps from the start of
+/// `first_step` to the end of the job, without waiting.
+Duration ChainEstimate(const JobSpec& spec,
+                       std::uint32_t first_step,
+                       const StepTime& time = DeclaredTime);
+
+/// @returns the expected time of the job's longest chain of steps.
+Duration LongestChainEstimate(const JobSpec& spec,
+                              const StepTime& time = DeclaredTime);
 
 }  // namespace zinniacart
--- a/packages/scheduling/host.cc
+++ b/packages/scheduling/host.cc
@@ -9,10 +9,11 @@
 /// it is sized for its peak.
 constexpr double kServingIdleShare = 0.4;
 constexpr int kFullSpeed = 100;
-constexpr double kMillicoresPerCore = 1000.0;
-/// What a task does to others shows in the measures after this time: they
-/// cover half a second and are listed twice a second.
-constexpr Duration kMeasuredAfter{1200};
+/// Assumed of a serving task that has not been measured yet.
+constexpr double kUnmeasuredMargin = 2.0;
+/// Less margin than this counts as this much, where something is divided by
+/// it.
+constexpr double kLeastRoom = 0.05;
 
 }  // namespace
 
@@ -47,26 +48,29 @@
 double Host::PredictPressure(const InterferenceModel& model,
                              const std::string& image,
                              double cores,
-                             Instant now) const {
-  std::map<std::string, double> added{{image, cores}};
+                             Instant now,
+                             Belief belief) const {
+  std::map<std::string, double> working{{image, cores}};
   for (const auto& [id, run] : runs) {
-    const bool measured = run.started && now - run.started_at > kMeasuredAfter;
-    if (run.best_effort && !run.stopping && !measured) {
-      added[run.image] +=
-          static_cast<double>(run.demand.millicores) / kMillicoresPerCore;
+    if (run.best_effort && !run.stopping) {
+      // What is slowed now wants its full speed back before more work comes.
+      working[run.image] += run.demand.cores();
     }
   }
   double worst = 0;
   for (const auto& [id, run] : runs) {
-    if (!run.serves || run.latency_target.count() == 0) {
+    if (!run.serves) {
       continue;
     }
-    double pressure = static_cast<double>(run.latest.measure) /
-                      static_cast<double>(run.latency_target.count());
-    for (const auto& [added_image, added_cores] : added) {
-      pressure += added_cores * model.PerCore(run.image, added_image);
+    const double room = run.expected_margin.value_or(kUnmeasuredMargin) -
+                        PacingSettings().planned_margin;
+    double loss = 0;
+    for (const auto& [working_image, working_cores] : working) {
+      const HarmBelief harm = model.Of(run.image, working_image, now);
+      loss += working_cores *
+              (belief == Belief::kLikely ? harm.per_core : harm.Cautious());
     }
-    worst = std::max(worst, pressure);
+    worst = std::max(worst, loss / std::max(room, kLeastRoom));
   }
   return worst;
 }
@@ -82,6 +86,14 @@
       }));
 }
 
+std::optional<double> HostedRun::margin() const {
+  if (!serves || latest.measure <= 0) {
+    return std::nullopt;
+  }
+  return static_cast<double>(latency_target.count()) /
+         static_cast<double>(latest.measure);
+}
+
 bool Host::Serves() const {
   return std::any_of(runs.begin(), runs.end(),
                      [](const auto& entry) { return entry.second.serves; });
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -29,6 +29,8 @@
   int wanted_percent = 100;          ///< The share of its speed it may work at.
   std::optional<Instant> halted_at;  ///< Since when it may not work at all.
   bool pace_waits = false;           ///< It has not been sent yet.
+  Instant paced_at;                  ///< When its pace was changed last.
+  bool full_speed = true;            ///< It was never slowed.
   bool perpetual = false;
   /// Version of the job that must be written before the start is ordered.
   std::uint64_t job_version = 0;
@@ -42,8 +44,18 @@
   Instant delivered_at;
   Instant started_at;
   RunningTask latest;  ///< As last listed.
+  /// A serving task: the margin it is expected to have without best-effort
+  /// work; nothing before its first measure.
+  std::optional<double> expected_margin;
+
+  /// @returns a serving task's target divided by its tail latency; nothing
+  /// where it is not measured.
+  std::optional<double> margin() const;
 };
 
+/// Which of the possible disturbances is reckoned with.
+enum class Belief { kLikely, kCautious };
+
 /// The owner's belief about one host.
 class Host final {
  public:
@@ -79,6 +91,15 @@
   std::uint64_t processed_ends = 0;  ///< Ends up to this one were handled.
   std::uint64_t recorded_ends = 0;   ///< Ends up to this one may be forgotten.
 
+  /// Best-effort work that ended lately, which measures may still show.
+  struct EndedUse {
+    std::string image;
+    double cores = 0;
+    Instant at;
+  };
+  std::vector<EndedUse> ended_use;
+  std::uint64_t measured_list = 0;  ///< The list that paces were decided from.
+  Instant measured_at;              ///< When that was.
   HostPacing pacing;
   HostHealth health;
 
@@ -94,12 +115,14 @@
   Resources Free() const;
   /// @returns millicores that best-effort work could use beyond what it has.
   std::int64_t IdleMillicores() const;
-  /// @returns the share that a serving task's tail has of its target, at its
-  /// worst, if `cores` more of best-effort `image` worked here.
+  /// @returns the share of their margin above the planned one that serving
+  /// tasks would lose, at the worst, if `cores` more of best-effort `image`
+  /// worked here; 1 uses up the margin.
   double PredictPressure(const InterferenceModel& model,
                          const std::string& image,
                          double cores,
-                         Instant now) const;
+                         Instant now,
+                         Belief belief = Belief::kLikely) const;
   /// @returns whether a task with a latency target is here.
   bool Serves() const;
   /// @returns how many tasks of the step run, or may run, here.
--- a/packages/scheduling/host_messages.h
+++ b/packages/scheduling/host_messages.h
@@ -115,6 +115,8 @@
   std::optional<WorkerFacts> facts;
   /// The lists are the worker's under `epoch`: no older owner can add to them.
   bool listed = false;
+  /// Grows with each newer list.
+  std::uint64_t list_number = 0;
   /// The worker answers calls.
   bool worker_reachable = false;
   /// The worker's lease has run out: whatever it ran has ended.
--- a/packages/scheduling/host_messages_codec.cc
+++ b/packages/scheduling/host_messages_codec.cc
@@ -150,6 +150,7 @@
     report.facts = DecodeFacts(row["facts"]);
   }
   report.listed = row.at("listed");
+  report.list_number = row.at("list");
   report.worker_reachable = row.at("reachable");
   report.lease_lapsed = row.at("lapsed");
   report.running = DecodeRows<RunningTask>(row.at("running"), DecodeRunning);
@@ -200,6 +201,7 @@
       {"stamp", report.stamp.milliseconds},
       {"epoch", report.epoch.value()},
       {"listed", report.listed},
+      {"list", report.list_number},
       {"reachable", report.worker_reachable},
       {"lapsed", report.lease_lapsed},
       {"running", EncodeRows(report.running, EncodeRunning)},
--- a/packages/scheduling/host_pacing.cc
+++ b/packages/scheduling/host_pacing.cc
@@ -1,6 +1,7 @@
 #include "scheduling/host_pacing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <utility>
 
@@ -10,8 +11,9 @@
 constexpr int kFullSpeed = 100;
 
 double WorstHarm(const BestEffortPace& task) {
-  const auto worst = std::max_element(task.harm.begin(), task.harm.end());
-  return worst == task.harm.end() ? 0.0 : *worst;
+  const auto worst =
+      std::max_element(task.harm_per_core.begin(), task.harm_per_core.end());
+  return worst == task.harm_per_core.end() ? 0.0 : *worst * task.cores;
 }
 
 }  // namespace
@@ -20,26 +22,19 @@
     const std::vector<ServingMeasure>& serving,
     std::vector<BestEffortPace> paced,
     Instant now) {
-  m_pressure = 0;
-  std::vector<double> planned;
+  AdjustTrust(serving, now);
+  std::vector<double> room;
   for (const ServingMeasure& measure : serving) {
-    m_pressure = std::max(m_pressure, measure.pressure);
-    planned.push_back(measure.undisturbed);
+    room.push_back(measure.expected - m_settings.planned_margin);
   }
-  AdjustTrust(now);
   std::stable_sort(paced.begin(), paced.end(),
                    [](const auto& left, const auto& right) {
                      return WorstHarm(left) < WorstHarm(right);
                    });
-  const double suspect =
-      paced.empty() ? 0.0 : m_settings.suspect_share * WorstHarm(paced.back());
   std::vector<BestEffortPace> changes;
   for (BestEffortPace& task : paced) {
-    const double trust = WorstHarm(task) < suspect ? 1.0 : m_trust;
-    const int percent = Plan(serving, task, trust, planned);
-    const bool at_an_end = percent == 0 || percent == kFullSpeed;
-    const int least = at_an_end ? 1 : m_settings.least_change;
-    if (std::abs(percent - task.percent) >= least) {
+    const int percent = Plan(task, room);
+    if (WorthTelling(task, percent)) {
       task.percent = percent;
       changes.push_back(std::move(task));
     }
@@ -47,43 +42,59 @@
   return changes;
 }
 
-void HostPacing::AdjustTrust(Instant now) {
-  const auto since = [&](Duration time) {
-    return !m_trust_changed_at || now - *m_trust_changed_at >= time;
-  };
-  if (m_pressure >= m_settings.halt_at) {
+bool HostPacing::WorthTelling(const BestEffortPace& task, int percent) const {
+  if (task.unsteady && percent > task.percent) {
+    return false;
+  }
+  const bool at_an_end = percent == 0 || percent == kFullSpeed;
+  const int least = at_an_end ? 1 : m_settings.least_change;
+  return std::abs(percent - task.percent) >= least;
+}
+
+void HostPacing::AdjustTrust(const std::vector<ServingMeasure>& serving,
+                             Instant now) {
+  m_least_margin.reset();
+  bool disturbed = false;
+  for (const ServingMeasure& measure : serving) {
+    m_least_margin =
+        std::min(m_least_margin.value_or(measure.margin), measure.margin);
+    disturbed = disturbed ||
+                (measure.margin < m_settings.halt_below &&
+                 measure.margin < measure.undisturbed * (1 - m_settings.noise));
+  }
+  if (!disturbed) {
+    m_disturbed_since.reset();
+  } else if (!m_disturbed_since) {
+    m_disturbed_since = now;
+  }
+  if (disturbed && now - *m_disturbed_since >= m_settings.halt_after) {
     m_trust = 0;
-  } else if (m_pressure >= m_settings.slow_at && since(m_settings.settle)) {
-    m_trust /= 2;
-  } else if (m_pressure < m_settings.slow_at && m_trust < 1.0 &&
-             since(m_settings.recover_every)) {
+    m_trust_changed_at = now;
+  } else if (m_trust < 1.0 &&
+             now - *m_trust_changed_at >= m_settings.recover_every) {
     m_trust = std::min(1.0, m_trust + m_settings.recover_step);
-  } else {
-    return;
+    m_trust_changed_at = now;
   }
-  m_trust_changed_at = now;
 }
 
-int HostPacing::Plan(const std::vector<ServingMeasure>& serving,
-                     const BestEffortPace& task,
-                     double trust,
-                     std::vector<double>& planned) const {
+int HostPacing::Plan(const BestEffortPace& task,
+                     std::vector<double>& room) const {
   if (WorstHarm(task) < m_settings.harmless) {
     return kFullSpeed;
   }
-  double share = trust;
-  for (std::size_t index = 0; index < serving.size(); ++index) {
-    const double room = m_settings.planned - planned[index];
-    if (task.harm[index] >= m_settings.harmless) {
-      share = std::min(share, std::max(0.0, room) / task.harm[index]);
+  double share = m_trust;
+  for (std::size_t index = 0; index < room.size(); ++index) {
+    const double harm = task.harm_per_core[index] * task.cores;
+    if (harm >= m_settings.harmless) {
+      share = std::min(share, std::max(0.0, room[index]) / harm);
     }
   }
-  const int percent = static_cast<int>(share * kFullSpeed);
+  const int percent = static_cast<int>(std::lround(share * kFullSpeed));
   if (percent < m_settings.least_percent) {
     return 0;
   }
-  for (std::size_t index = 0; index < serving.size(); ++index) {
-    planned[index] += share * task.harm[index];
+  for (std::size_t index = 0; index < room.size(); ++index) {
+    room[index] -= share * task.harm_per_core[index] * task.cores;
   }
   return percent;
 }
--- a/packages/scheduling/host_pacing.h
+++ b/packages/scheduling/host_pacing.h
@@ -8,50 +8,53 @@
 
 namespace zinniacart {
 
-/// A serving task as last measured.
+/// A serving task as last measured. Margins are the target divided by the tail
+/// latency: 1 is just at the target, more is better.
 struct ServingMeasure {
-  double pressure = 0;  ///< Its users' tail latency as a share of its target.
-  double undisturbed = 0;  ///< What that would be without best-effort work.
+  double margin = 0;
+  double undisturbed = 0;  ///< The margin without best-effort work.
+  double expected = 0;     ///< As `undisturbed`, when a new pace shows effect.
 };
 
 /// A best-effort task and the share of its speed that it was told to work at.
 struct BestEffortPace {
   TaskRun id;
   int percent = 100;
-  /// For each serving task of the host: the share of its target that this task
-  /// is believed to add at full speed.
-  std::vector<double> harm;
+  double cores = 0;  ///< What it uses at full speed.
+  /// It began or changed its pace so lately that the measures do not show it.
+  bool unsteady = false;
+  /// For each serving task of the host: the margin that each core of this one
+  /// must be expected to take from it.
+  std::vector<double> harm_per_core;
 };
 
 struct PacingSettings {
-  /// The paces are planned for tails at this share of their targets; the rest
-  /// is for rough measures and for load that grows meanwhile.
-  double planned = 0.8;
-  /// A measured tail beyond this share means that the plan is too hopeful.
-  double slow_at = 0.9;
-  /// Beyond this share all suspects are halted at once.
-  double halt_at = 1.2;
-  /// An effect shows in the measures after this time.
-  Duration settle{700};
+  /// The paces are planned for this margin; what is above 1 is for rough
+  /// measures and for disturbance that grows meanwhile.
+  double planned_margin = 1.1;
+  /// A tail that stays below this margin for so long shows that the plan is
+  /// wrong, and all suspects are halted.
+  double halt_below = 1.0;
+  Duration halt_after{600};
   /// Between two steps back to the plan, and their size.
-  Duration recover_every{1000};
-  double recover_step = 0.2;
+  Duration recover_every{700};
+  double recover_step = 0.5;
+  /// A loss of margin up to this share is noise of the measures.
+  double noise = 0.12;
   /// Less than this is not worth the disturbance.
   int least_percent = 10;
   /// A smaller change of a pace is not worth a call.
-  int least_change = 15;
-  /// Tasks that are believed to add less than this are left alone.
-  double harmless = 0.03;
-  /// Tasks that do less than this share of the worst one's harm are not made
-  /// to pay for a plan that was too hopeful.
-  double suspect_share = 0.25;
+  int least_change = 10;
+  /// Tasks that are believed to take less margin than this are left alone.
+  double harmless = 0.08;
 };
 
 /// Decides how fast best-effort tasks may work beside serving tasks on one
 /// host. Load it answers: disturbance that differs by pair of images and
 /// changes within seconds. The paces are planned from what is believed of each
-/// pair, the least harmful first; measures that contradict the plan cut it at
-/// once and let it recover in steps.
+/// pair, the least harmful first. Where a tail is over its target all the
+/// same, the suspects are halted and come back in steps. A task whose newest
+/// pace the measures do not show yet may be slowed further, but not sped up.
 class HostPacing final {
  public:
   explicit HostPacing(PacingSettings settings = {}) : m_settings(settings) {}
@@ -63,22 +66,21 @@
                                      std::vector<BestEffortPace> paced,
                                      Instant now);
 
-  /// @returns the largest share that a tail has of its target, as of the last
-  /// decision; 0 where nothing serves.
-  double pressure() const { return m_pressure; }
+  /// @returns the smallest margin, as of the last decision; nothing where no
+  /// serving task is measured.
+  std::optional<double> least_margin() const { return m_least_margin; }
 
  private:
-  void AdjustTrust(Instant now);
-  int Plan(const std::vector<ServingMeasure>& serving,
-           const BestEffortPace& task,
-           double trust,
-           std::vector<double>& planned) const;
+  void AdjustTrust(const std::vector<ServingMeasure>& serving, Instant now);
+  int Plan(const BestEffortPace& task, std::vector<double>& room) const;
+  bool WorthTelling(const BestEffortPace& task, int percent) const;
 
   PacingSettings m_settings;
-  double m_pressure = 0;
+  std::optional<double> m_least_margin;
   /// The part of the plan that is carried out, from 0 to 1.
   double m_trust = 1.0;
   std::optional<Instant> m_trust_changed_at;
+  std::optional<Instant> m_disturbed_since;
 };
 
 }  // namespace zinniacart
--- a/packages/scheduling/job.cc
+++ b/packages/scheduling/job.cc
@@ -217,6 +217,17 @@
   return m_begun ? JobState::kRunning : JobState::kQueued;
 }
 
+double Job::CoreSecondsLeft(const StepTime& time) const {
+  double left = 0;
+  for (std::size_t number = 0; number < m_steps.size(); ++number) {
+    const StepSpec& step = spec().steps[number % spec().steps.size()];
+    const auto open = m_steps[number].tasks.size() - m_steps[number].done;
+    left += static_cast<double>(open) * step.demand.cores() *
+            std::chrono::duration<double>(time(step)).count();
+  }
+  return left;
+}
+
 RunNumber Job::NextRun(const TaskKey& key) const {
   const StepTasks& step = At(key.occurrence, key.step);
   if (!spec().steps[key.step].gang) {
--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -40,6 +40,8 @@
   /// Hosts to avoid, where runs failed or were refused; not persisted.
   std::vector<HostId> failed_on;
   Instant placed_at;  ///< Not persisted.
+  /// Where the task is to go next, if it fits; not persisted.
+  HostId wanted_host;
 
   bool placed() const {
     return phase == TaskPhase::kPlaced || phase == TaskPhase::kStopping;
@@ -106,6 +108,8 @@
   bool active() const { return !IsTerminal(m_state); }
   /// @returns whether a task has ever been placed.
   bool begun() const { return m_begun; }
+  /// @returns the work of the tasks that are not done, in core-seconds.
+  double CoreSecondsLeft(const StepTime& time) const;
   /// @returns the run number that a new start of `key` takes.
   RunNumber NextRun(const TaskKey& key) const;
 
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -13,19 +13,23 @@
 /// Cost of a host on which the task failed before; such a host is used only
 /// where nothing else fits.
 constexpr double kFailedBeforeCost = 1000000.0;
-/// Cost of a whole target's worth of predicted pressure.
+/// Cost of taking all the margin that serving tasks have to spare.
 constexpr double kPressureCost = 20000.0;
 /// Cost of putting a serving task on a host that has none: such hosts are kept
 /// for best-effort work that would disturb.
-constexpr double kOpenHostCost = 50000.0;
+constexpr double kOpenHostCost = 10000.0;
 /// Cost of putting best-effort work that disturbs nobody there.
 constexpr double kWasteQuietHostCost = 15000.0;
-/// Less predicted pressure than this disturbs nobody.
-constexpr double kNoDisturbance = 0.05;
-/// Best-effort work goes beside serving tasks only while their tails are
-/// predicted to stay below this share of their targets; a little less than
-/// where pacing begins.
-constexpr double kMostPressure = 0.8;
+/// Outweighs the tightest fit for a task that was moved for a host.
+constexpr double kWantedHostGain = 40000.0;
+/// Cost of mixing serving tasks of several images on a host: fewer kinds of
+/// best-effort work leave all of them undisturbed.
+constexpr double kMixImagesCost = 20000.0;
+/// Work that takes less margin than this disturbs nobody.
+constexpr double kNoDisturbance = 0.1;
+/// Best-effort work goes beside serving tasks only while it is predicted to
+/// take at most this share of the margin that they have to spare.
+constexpr double kMostPressure = 0.9;
 
 bool Allowed(const PlacementView& view,
              const PlacementRequest& request,
@@ -35,19 +39,19 @@
          host.facts->service == request.job.policy().service &&
          !view.evacuated.contains(host.facts->domain) &&
          (request.rack.empty() || host.facts->rack == request.rack) &&
+         (request.beside_serving_of == HostId() ||
+          (host.Serves() && host.id() != request.beside_serving_of)) &&
          (step.required_label.empty() || host.HasLabel(step.required_label));
 }
 
-constexpr double kMillicoresPerCore = 1000.0;
-
 /// @returns whether the task would disturb no serving task anywhere.
 bool Harmless(const PlacementView& view, const PlacementRequest& request) {
-  const double cores =
-      static_cast<double>(request.step.demand.millicores) / kMillicoresPerCore;
+  const double cores = request.step.demand.cores();
   for (const auto& [id, host] : view.hosts) {
     for (const auto& [run_id, run] : host.runs) {
       if (run.serves &&
-          cores * view.interference.PerCore(run.image, request.step.image) >
+          cores * view.interference.Of(run.image, request.step.image, view.now)
+                      .Cautious() >
               kNoDisturbance) {
         return false;
       }
@@ -67,7 +71,7 @@
       static_cast<double>(host.IdleMillicores() - taken.millicores);
   const double pressure =
       host.PredictPressure(view.interference, request.step.image,
-                           demand / kMillicoresPerCore, view.now);
+                           request.step.demand.cores(), view.now);
   const bool good =
       idle >= kLeastBestEffortShare * demand && pressure <= kMostPressure;
   if (!good && !request.anywhere) {
@@ -80,6 +84,18 @@
   return cost;
 }
 
+/// @returns the cost of a serving task on the host, beside its room.
+double ServingCost(const StepSpec& step, const Host& host) {
+  if (!host.Serves()) {
+    return kOpenHostCost;
+  }
+  const bool mixes =
+      std::any_of(host.runs.begin(), host.runs.end(), [&](const auto& entry) {
+        return entry.second.serves && entry.second.image != step.image;
+      });
+  return mixes ? kMixImagesCost : 0.0;
+}
+
 /// @returns the cost of the host for the task, nothing where it does not fit.
 std::optional<double> CostAt(const PlacementView& view,
                              const PlacementRequest& request,
@@ -103,7 +119,10 @@
     cost = *best_effort;
   } else {
     cost = static_cast<double>(free.millicores - demand.millicores);
-    cost += step.serves() && !host.Serves() ? kOpenHostCost : 0.0;
+    cost += step.serves() ? ServingCost(step, host) : 0.0;
+  }
+  if (request.task.wanted_host == host.id()) {
+    cost -= kWantedHostGain;
   }
   if (!step.preferred_rack.empty() && !host.HasLabel(step.preferred_rack)) {
     cost += kFarFromDataCost;
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -30,6 +31,8 @@
   /// goes even where it must be slowed.
   bool anywhere = false;
   std::string rack{};  ///< Only hosts of this rack; empty: any.
+  /// Only other hosts than this one on which tasks serve; empty: any.
+  HostId beside_serving_of{};
 };
 
 /// Room already promised within one decision, by host.
--- /dev/null
+++ b/packages/scheduling/run_time_model.cc
@@ -0,0 +1,55 @@
+#include "scheduling/run_time_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace zinniacart {
+
+void RunTimeModel::Spread::Add(double value, double weight) {
+  const double difference = value - mean;
+  mean += weight * difference;
+  variance = (1 - weight) * (variance + weight * difference * difference);
+}
+
+void RunTimeModel::Learn(const QueueId& queue,
+                         Duration declared,
+                         Duration taken) {
+  if (declared.count() <= 0 || taken.count() <= 0) {
+    return;
+  }
+  Runs& runs = m_runs[queue];
+  ++runs.count;
+  const double weight =
+      std::max(m_settings.newest_weight, 1.0 / static_cast<double>(runs.count));
+  const double log_taken = std::log(static_cast<double>(taken.count()));
+  const double log_declared = std::log(static_cast<double>(declared.count()));
+  runs.taken.Add(log_taken, weight);
+  runs.ratio.Add(log_taken - log_declared, weight);
+}
+
+Duration RunTimeModel::Expect(const QueueId& queue, Duration declared) const {
+  const auto found = m_runs.find(queue);
+  if (found == m_runs.end() || found->second.count < m_settings.least_runs ||
+      declared.count() <= 0) {
+    return declared;
+  }
+  const Runs& runs = found->second;
+  const double usual_weight =
+      1 / std::max(m_settings.least_variance, runs.taken.variance);
+  const double declared_weight =
+      1 / std::max(m_settings.least_variance, runs.ratio.variance);
+  const double by_declared =
+      std::log(static_cast<double>(declared.count())) + runs.ratio.mean;
+  const double expected =
+      (usual_weight * runs.taken.mean + declared_weight * by_declared) /
+      (usual_weight + declared_weight);
+  return Duration(std::llround(std::exp(expected)));
+}
+
+StepTime RunTimeModel::TimesOf(const QueueId& queue) const {
+  return [this, queue](const StepSpec& step) {
+    return Expect(queue, step.estimate);
+  };
+}
+
+}  // namespace zinniacart
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -21,6 +21,7 @@
   m_dirty.clear();
   m_dirty_set.clear();
   m_ended.clear();
+  m_serving.clear();
 }
 
 void Scheduler::SetConfiguration(SiteConfiguration configuration) {
@@ -143,13 +144,21 @@
     m_checkpoints_saved_at = now;
     SaveCheckpoints();
   }
+  if (now - m_consolidated_at > m_settings.consolidate_every) {
+    m_consolidated_at = now;
+    Consolidate();
+  }
   if (now - m_load_logged_at > m_settings.log_load_every) {
     m_load_logged_at = now;
     LogLoad();
   }
   while (!m_ended.empty() &&
          now - m_ended.front().first > m_settings.remember_ended) {
-    m_jobs.erase(m_ended.front().second);
+    const JobId& ended = m_ended.front().second;
+    std::erase_if(m_serving, [&ended](const auto& entry) {
+      return entry.first.job == ended;
+    });
+    m_jobs.erase(ended);
     m_ended.pop_front();
   }
 }
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -20,7 +20,9 @@
 #include "scheduling/host_messages.h"
 #include "scheduling/job.h"
 #include "scheduling/placement.h"
+#include "scheduling/run_time_model.h"
 #include "scheduling/scheduler_settings.h"
+#include "scheduling/serving_load.h"
 
 namespace zinniacart {
 
@@ -111,26 +113,32 @@
   void AdoptIncarnation(Host& host, const HostReport& report);
   void HandleEnds(Host& host, const HostReport& report);
   void HandleRunning(Host& host, const HostReport& report);
+  void MarkStarted(Host& host, HostedRun& run);
+  int FirstPace(const Host& host, const StepSpec& step) const;
   void AvoidHost(const OrderResult& result, const Host& host);
   void HandleResults(Host& host, const HostReport& report);
   void HandleAbsent(Host& host, const HostReport& report);
   void ApplyEnd(Host& host, const EndedTask& ended);
   void ApplyUnexpectedEnd(const EndedTask& ended);
+  void LearnRunTime(const Job& job, const HostedRun& run);
   void CountOutcome(Host& host, const TaskRun& id, bool failed);
   void LapseRuns(Host& host, const char* reason);
+  void EraseRun(Host& host, const TaskRun& id);
   void DropRun(Host& host,
                const TaskRun& id,
                const CheckpointId& checkpoint,
                bool failed,
                const char* reason);
   void AdvanceRecordedEnds(Host& host);
-  void UpdatePacing(Host& host);
-  void LearnInterference(const Host& host);
-  std::optional<double> UndisturbedTail(const TaskKey& serving) const;
+  void UpdatePacing(Host& host, std::uint64_t list_number);
+  std::vector<ImageUse> BestEffortUse(Host& host) const;
+  void ObserveServing(Host& host);
+  void SetPace(Host& host, const BestEffortPace& change);
   std::vector<double> HarmOf(
       const HostedRun& run,
       const std::vector<std::string>& serving_images) const;
   void MoveHalted(Host& host);
+  void Consolidate();
   PlacementView View() const;
   void ObserveHeadroom();
   bool LeavesHeadroom(const Job& job, const StepSpec& step) const;
@@ -168,9 +176,13 @@
   SiteConfiguration m_configuration;
   std::set<DomainId> m_evacuated;
   InterferenceModel m_interference;
+  RunTimeModel m_run_times;
+  /// By step, named by its first task.
+  std::map<TaskKey, ServingLoad> m_serving;
   std::map<ServiceId, Headroom> m_headroom;
   Instant m_checkpoints_saved_at;
   Instant m_load_logged_at;
+  Instant m_consolidated_at;
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<HostId, Host> m_hosts;
   std::deque<JobId> m_dirty;
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -2,124 +2,142 @@
 #include <map>
 #include <string>
 
+#include "scheduling/consolidation.h"
 #include "scheduling/placement.h"
 #include "scheduling/scheduler.h"
 
 namespace zinniacart {
 namespace {
 
-constexpr double kMillicoresPerCore = 1000.0;
+/// @returns the cores that a task which ends uses, as last measured.
+double CoresInUse(const HostedRun& run) {
+  return Resources{run.latest.measure, 0, 0}.cores();
+}
+
+/// @returns the step of a task, as the task of index 0.
+TaskKey StepOf(TaskKey task) {
+  task.index = 0;
+  return task;
+}
 
-/// @returns what best-effort work uses on the host, by image.
-std::vector<ImageUse> BestEffortUse(const Host& host) {
-  std::map<std::string, double> cores;
+/// Measures cover half a second and are listed twice a second: until then they
+/// may not show a change.
+constexpr Duration kShownAfter{800};
+/// Lists that are taken closer together show the same half second.
+constexpr Duration kBetweenMeasures{200};
+
+bool Unsteady(const HostedRun& run, Instant now) {
+  return now - std::max(run.started_at, run.paced_at) < kShownAfter;
+}
+
+}  // namespace
+
+std::vector<ImageUse> Scheduler::BestEffortUse(Host& host) const {
+  const Instant now = m_clock.Now();
+  std::map<std::string, ImageUse> uses;
   for (const auto& [id, run] : host.runs) {
     if (run.started && run.best_effort) {
-      cores[run.image] +=
-          static_cast<double>(run.latest.measure) / kMillicoresPerCore;
+      ImageUse& use = uses[run.image];
+      use.cores += CoresInUse(run);
+      use.unsteady_cores += Unsteady(run, now) ? run.demand.cores() : 0;
     }
   }
-  std::vector<ImageUse> uses;
-  for (const auto& [image, used] : cores) {
-    uses.push_back(ImageUse{image, used});
+  std::erase_if(host.ended_use, [&](const Host::EndedUse& ended) {
+    return now - ended.at > kShownAfter;
+  });
+  for (const Host::EndedUse& ended : host.ended_use) {
+    uses[ended.image].unsteady_cores += ended.cores;
   }
-  return uses;
+  std::vector<ImageUse> result;
+  for (auto& [image, use] : uses) {
+    use.image = image;
+    result.push_back(std::move(use));
+  }
+  return result;
 }
 
-}  // namespace
-
-void Scheduler::UpdatePacing(Host& host) {
-  LearnInterference(host);
+void Scheduler::UpdatePacing(Host& host, std::uint64_t list_number) {
+  // A list that was seen before teaches nothing new, nor does one that was
+  // taken hardly later.
+  const Instant now = m_clock.Now();
+  if (list_number == host.measured_list ||
+      now - host.measured_at < kBetweenMeasures) {
+    return;
+  }
+  host.measured_list = list_number;
+  host.measured_at = now;
+  ObserveServing(host);
   std::vector<ServingMeasure> serving;
   std::vector<std::string> images;
   for (const auto& [id, run] : host.runs) {
-    if (run.started && run.serves) {
-      const auto target = static_cast<double>(run.latency_target.count());
-      const auto tail = static_cast<double>(run.latest.measure);
-      serving.push_back(ServingMeasure{
-          tail / target, UndisturbedTail(id.task).value_or(tail) / target});
+    if (run.started && run.serves && run.margin()) {
+      const double undisturbed = m_serving.at(StepOf(id.task)).margin();
+      serving.push_back(
+          ServingMeasure{*run.margin(), undisturbed, *run.expected_margin});
       images.push_back(run.image);
     }
   }
   std::vector<BestEffortPace> paced;
   for (const auto& [id, run] : host.runs) {
     if (run.started && run.best_effort && !run.stopping) {
-      paced.push_back(
-          BestEffortPace{id, run.wanted_percent, HarmOf(run, images)});
+      paced.push_back(BestEffortPace{id, run.wanted_percent, run.demand.cores(),
+                                     Unsteady(run, now), HarmOf(run, images)});
     }
   }
-  const Instant now = m_clock.Now();
   for (const BestEffortPace& change :
        host.pacing.Decide(serving, std::move(paced), now)) {
-    HostedRun& run = host.runs.at(change.id);
-    m_log({"run paced", change.id, host.id(),
-           "percent " + std::to_string(change.percent) + ", pressure " +
-               std::to_string(host.pacing.pressure())});
-    run.wanted_percent = change.percent;
-    run.pace_waits = true;
-    if (change.percent > 0) {
-      run.halted_at.reset();
-    } else if (!run.halted_at) {
-      run.halted_at = now;
-    }
-    host.has_orders = true;
+    SetPace(host, change);
   }
   MoveHalted(host);
 }
 
-void Scheduler::LearnInterference(const Host& host) {
-  const auto beside = BestEffortUse(host);
-  if (beside.empty()) {
-    return;
-  }
-  for (const auto& [id, run] : host.runs) {
-    if (!run.started || !run.serves || run.latest.measure == 0) {
-      continue;
-    }
-    if (const auto undisturbed = UndisturbedTail(id.task)) {
-      const double excess =
-          (static_cast<double>(run.latest.measure) - *undisturbed) /
-          static_cast<double>(run.latency_target.count());
-      m_interference.Learn(run.image, excess, beside);
-    }
+void Scheduler::SetPace(Host& host, const BestEffortPace& change) {
+  HostedRun& run = host.runs.at(change.id);
+  m_log({"run paced", change.id, host.id(),
+         "percent " + std::to_string(change.percent) + ", least margin " +
+             std::to_string(host.pacing.least_margin().value_or(0))});
+  run.wanted_percent = change.percent;
+  run.pace_waits = true;
+  run.paced_at = m_clock.Now();
+  run.full_speed = false;
+  if (change.percent > 0) {
+    run.halted_at.reset();
+  } else if (!run.halted_at) {
+    run.halted_at = m_clock.Now();
   }
+  host.has_orders = true;
 }
 
-std::optional<double> Scheduler::UndisturbedTail(const TaskKey& serving) const {
-  // The tasks of a step share their load, so the quickest of them shows what
-  // the others would be without what works beside them.
-  std::optional<double> least;
-  const auto job = m_jobs.find(serving.job);
-  if (job == m_jobs.end()) {
-    return least;
-  }
-  for (const Task& task :
-       job->second->At(serving.occurrence, serving.step).tasks) {
-    const auto host = m_hosts.find(task.placement.host);
-    if (!task.placed() || host == m_hosts.end()) {
+void Scheduler::ObserveServing(Host& host) {
+  const Instant now = m_clock.Now();
+  const auto beside = BestEffortUse(host);
+  for (auto& [id, run] : host.runs) {
+    const auto margin = run.margin();
+    if (!run.started || !run.serves || !margin) {
       continue;
     }
-    TaskRun id{serving, task.run};
-    id.task.index = static_cast<std::uint32_t>(
-        &task - job->second->At(serving.occurrence, serving.step).tasks.data());
-    const auto run = host->second.runs.find(id);
-    if (run == host->second.runs.end() || run->second.latest.measure == 0) {
-      continue;
+    const TaskKey step = StepOf(id.task);
+    auto load = m_serving.find(step);
+    if (load == m_serving.end()) {
+      load = m_serving
+                 .emplace(step, m_interference.BeginLoad(run.image, *margin,
+                                                         beside, now))
+                 .first;
     }
-    const auto tail = static_cast<double>(run->second.latest.measure);
-    least = least ? std::min(*least, tail) : tail;
+    m_interference.Learn(run.image, *margin, beside, load->second, now);
+    run.expected_margin =
+        load->second.margin() -
+        load->second.ExpectedFall(m_settings.pace_takes_effect);
   }
-  return least;
 }
 
 std::vector<double> Scheduler::HarmOf(
     const HostedRun& run,
     const std::vector<std::string>& serving_images) const {
-  const double cores =
-      static_cast<double>(run.demand.millicores) / kMillicoresPerCore;
   std::vector<double> harm;
   for (const std::string& image : serving_images) {
-    harm.push_back(cores * m_interference.PerCore(image, run.image));
+    harm.push_back(
+        m_interference.Of(image, run.image, m_clock.Now()).Cautious());
   }
   return harm;
 }
@@ -148,4 +166,29 @@
   }
 }
 
+void Scheduler::Consolidate() {
+  const bool best_effort =
+      std::any_of(m_jobs.begin(), m_jobs.end(), [](const auto& entry) {
+        const auto& steps = entry.second->spec().steps;
+        return entry.second->active() && std::any_of(steps.begin(), steps.end(),
+                                                     [](const StepSpec& step) {
+                                                       return step.best_effort;
+                                                     });
+      });
+  if (!best_effort) {
+    return;
+  }
+  const PlacementView view = View();
+  const auto move = ChooseServingMove(ConsolidationView{view, m_jobs});
+  if (!move) {
+    return;
+  }
+  Job& job = *FindJob(move->run.task.job);
+  Host& host = m_hosts.at(move->from);
+  job.Find(move->run.task)->wanted_host = move->to;
+  m_log({"run moved", move->run, move->from,
+         "beside other serving tasks at " + move->to.value()});
+  StopRun(job, move->run.task, host, host.runs.at(move->run));
+}
+
 }  // namespace zinniacart
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "scheduling/job_order.h"
 #include "scheduling/placement.h"
 #include "scheduling/scheduler.h"
 
@@ -10,6 +11,9 @@
 constexpr double kPriorityWeight = 1e9;
 /// Perpetual tasks come after those that end, which leave their room again.
 constexpr double kPerpetualUrgency = 1e8;
+constexpr int kFullSpeed = 100;
+/// Slower work would tell too little of what it disturbs.
+constexpr int kLeastFirstPace = 25;
 
 }  // namespace
 
@@ -76,16 +80,9 @@
                         static_cast<double>(declared.demand.millicores);
     return kPriorityWeight * policy.priority + kPerpetualUrgency - size;
   }
-  const double objective =
-      policy.stretch *
-          static_cast<double>(LongestChainEstimate(job.spec()).count()) +
-      static_cast<double>(policy.objective.count());
-  const double age =
-      static_cast<double>((m_clock.Now() - job.accepted()).count());
-  const double slack =
-      objective - age -
-      static_cast<double>(ChainEstimate(job.spec(), step).count());
-  return kPriorityWeight * policy.priority + slack;
+  return kPriorityWeight * policy.priority +
+         RankOf(StandingOf(job, step, m_run_times.TimesOf(job.record().queue),
+                           m_clock.Now()));
 }
 
 void Scheduler::ObserveHeadroom() {
@@ -144,9 +141,6 @@
   Job& job = *ready.job;
   const StepSpec& step = job.spec().steps[ready.step];
   StepTasks& tasks = job.At(ready.occurrence, ready.step);
-  if (step.perpetual && !LeavesHeadroom(job, step)) {
-    return;
-  }
   const PlacementView view = View();
   bool idle = std::none_of(tasks.tasks.begin(), tasks.tasks.end(),
                            [](const Task& task) { return task.placed(); });
@@ -155,6 +149,11 @@
     if (task.phase != TaskPhase::kPending) {
       continue;
     }
+    // A task that was moved has had its room already.
+    if (step.perpetual && task.wanted_host == HostId() &&
+        !LeavesHeadroom(job, step)) {
+      return;
+    }
     const TaskKey key{job.id(), ready.occurrence, ready.step, index};
     const bool anywhere =
         idle && m_clock.Now() - job.accepted() > m_settings.longest_idle;
@@ -165,9 +164,6 @@
     }
     PlaceTask(job, key, m_hosts.at(*host));
     idle = false;
-    if (step.perpetual && !LeavesHeadroom(job, step)) {
-      return;
-    }
   }
 }
 
@@ -203,6 +199,15 @@
   return run;
 }
 
+int Scheduler::FirstPace(const Host& host, const StepSpec& step) const {
+  const double pressure =
+      host.PredictPressure(m_interference, step.image, step.demand.cores(),
+                           m_clock.Now(), Belief::kCautious);
+  const int percent =
+      pressure > 1 ? static_cast<int>(kFullSpeed / pressure) : kFullSpeed;
+  return std::max(percent, kLeastFirstPace);
+}
+
 void Scheduler::PlaceTask(Job& job, const TaskKey& key, Host& host) {
   const StepSpec& step = job.spec().steps[key.step];
   const RunNumber number =
@@ -211,9 +216,16 @@
           : job.NextRun(key);
   Task& task = *job.Find(key);
   job.Place(key, number, Placement{host.id(), host.incarnation}, m_clock.Now());
+  task.wanted_host = {};
   HostedRun run = MakeRun(step);
+  run.estimate = m_run_times.Expect(job.record().queue, step.estimate);
   run.incarnation = host.incarnation;
   run.job_version = job.version();
+  if (step.best_effort) {
+    run.wanted_percent = FirstPace(host, step);
+    run.pace_waits = run.wanted_percent < kFullSpeed;
+    run.full_speed = !run.pace_waits;
+  }
   run.order = StartOrder{TaskRun{key, number},
                          job.spec().payload,
                          step.checkpoints ? task.checkpoint : CheckpointId(),
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -55,7 +55,7 @@
   HandleAbsent(host, report);
   AdvanceRecordedEnds(host);
   UpdateHealth(host);
-  UpdatePacing(host);
+  UpdatePacing(host, report.list_number);
 }
 
 void Scheduler::AdoptAgent(Host& host, const HostReport& report) {
@@ -123,7 +123,8 @@
     CountOutcome(host, ended.id, failed);
     return;
   }
-  host.runs.erase(ended.id);
+  LearnRunTime(*job, run);
+  EraseRun(host, ended.id);
   CountOutcome(host, ended.id, false);
   const bool was_active = job->active();
   const StepSpec& step = job->spec().steps[ended.id.task.step];
@@ -138,6 +139,17 @@
   }
 }
 
+void Scheduler::LearnRunTime(const Job& job, const HostedRun& run) {
+  const TaskKey& task = run.order.id.task;
+  const bool whole = run.started && run.full_speed && !run.recovered &&
+                     run.order.resume_from == CheckpointId() &&
+                     task.job == job.id();
+  if (whole && !run.perpetual) {
+    m_run_times.Learn(job.record().queue, job.spec().steps[task.step].estimate,
+                      m_clock.Now() - run.started_at);
+  }
+}
+
 void Scheduler::ApplyUnexpectedEnd(const EndedTask& ended) {
   // A copy that an older owner knew of, or a run that was given up on: done is
   // done, and must not be started again once its end is recorded.
@@ -174,10 +186,7 @@
     HostedRun& run = found->second;
     switch (result.outcome) {
       case OrderOutcome::kStarted:
-        if (!run.started) {
-          run.started = true;
-          run.started_at = m_clock.Now();
-        }
+        MarkStarted(host, run);
         break;
       case OrderOutcome::kStopped:
         break;
@@ -193,6 +202,15 @@
   }
 }
 
+void Scheduler::MarkStarted(Host& host, HostedRun& run) {
+  if (run.started) {
+    return;
+  }
+  run.started = true;
+  run.started_at = m_clock.Now();
+  host.has_orders = host.has_orders || run.pace_waits;
+}
+
 void Scheduler::AvoidHost(const OrderResult& result, const Host& host) {
   Job* job = FindJob(result.id.task.job);
   // Want of room passes; a worker that does not take orders may not recover.
@@ -211,10 +229,7 @@
       continue;
     }
     HostedRun& run = found->second;
-    if (!run.started) {
-      run.started = true;
-      run.started_at = m_clock.Now();
-    }
+    MarkStarted(host, run);
     if (run.recovered && run.best_effort) {
       // The older owner may have slowed it to any pace.
       run.wanted_percent = kRecoveredPercent;
@@ -256,12 +271,25 @@
   }
 }
 
+void Scheduler::EraseRun(Host& host, const TaskRun& id) {
+  const auto found = host.runs.find(id);
+  if (found == host.runs.end()) {
+    return;
+  }
+  const HostedRun& run = found->second;
+  if (run.best_effort && run.started) {
+    host.ended_use.push_back(
+        Host::EndedUse{run.image, run.demand.cores(), m_clock.Now()});
+  }
+  host.runs.erase(found);
+}
+
 void Scheduler::DropRun(Host& host,
                         const TaskRun& id,
                         const CheckpointId& checkpoint,
                         bool failed,
                         const char* reason) {
-  host.runs.erase(id);
+  EraseRun(host, id);
   m_log({"run released", id, host.id(), reason});
   Job* job = FindJob(id.task.job);
   if (job == nullptr) {
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -38,6 +38,9 @@
   Duration redelivery{2000};
   /// A job whose turn has come does not stay without a task at work for longer.
   Duration longest_idle{1500};
+  /// From a measure to the effect of the pace it led to: half a second of
+  /// measuring, the report, the worker's delay.
+  Duration pace_takes_effect{900};
   /// Best-effort work that has been halted this long goes elsewhere if it can.
   Duration move_halted_after{700};
   /// A move costs unsaved work and a start; a run stays at least this long.
@@ -45,6 +48,9 @@
   /// Checkpoints of running tasks are stored this often: so much work is lost
   /// when owner and worker fail at the same moment.
   Duration save_checkpoints_every{1500};
+  /// Serving tasks are moved together one by one, this far apart, so that each
+  /// move sees what the one before has changed.
+  Duration consolidate_every{150};
   Duration log_load_every{2000};
   /// A host that has not been heard for this long gets no new work, and tasks
   /// of which copies may run get one elsewhere. More than two rounds of
--- a/packages/scheduling/tests/scheduler_harness.h
+++ b/packages/scheduling/tests/scheduler_harness.h
@@ -51,6 +51,7 @@
     HostReport& report = m_reports.at(host);
     report.epoch = Epoch(m_epoch);
     ++report.sequence;
+    ++report.list_number;
     m_scheduler.OnReport(HostId(host), report);
   }
 
