Play the placement protocol at random; keep starts apart over two lives

Traced, each with a unit test that failed first: - The deadline of a start extends the worker's lease, but the agent reckoned with its holds only and reported the lease as lapsed. - A report made while the worker did not answer let the owner drop starts that the agent sent a moment later. - A start on its way when the worker crashed can be carried out by its next life, which has the same id; the owner took it for ended. It is stopped, and so barred, in the new life first; what the new life lists is kept; what an older owner placed waits for the list. - A hold that meets the next life unawares could make it forget ends of that life; ends are now acknowledged only while they are listed and the worker answers.

Ruled out as mere artefacts of the fakes: connections break with the worker's life, holds wait, late orders end with the life.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -126,6 +126,13 @@
   }
 }
 
+std::uint64_t HostSupervisor::EndsToForget() const {
+  // A worker that does not answer may have crashed and count its ends anew.
+  const bool listed =
+      !m_ended.empty() && m_ended.front().number <= m_recorded_ends;
+  return listed && m_reachable ? m_recorded_ends : 0;
+}
+
 bool HostSupervisor::EndsWait() const {
   return !m_ended.empty() && m_ended.back().number > m_recorded_ends;
 }
@@ -266,6 +273,9 @@
     start.phase = StartPhase::kSent;
     start.not_after = WorkerInstant{WorkerNow().milliseconds +
                                     m_settings.times.start_validity.count()};
+    // The deadline of a start holds all that the worker runs.
+    m_lease_asked =
+        std::max(m_lease_asked, m_clock.Now() + m_settings.times.start_validity);
     calls.emplace_back(
         StartCall{start.order, worker(), m_epoch, start.not_after});
   }
@@ -290,7 +300,7 @@
   HoldCall call;
   call.id = ++m_events;
   call.token = m_epoch;
-  call.recorded_ends = m_recorded_ends;
+  call.recorded_ends = EndsToForget();
   // The first call of a connection's life must not wait: nothing is known yet.
   // A worker that lists ends does not wait for further ones.
   call.wait = m_urgent_hold || !m_reachable || EndsWait()
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -95,6 +95,8 @@
   WorkerInstant WorkerNow() const;
   bool MayStart() const;
   bool LeaseLapsed() const;
+  /// @returns up to which number the worker may forget ends; 0: none.
+  std::uint64_t EndsToForget() const;
   bool EndsWait() const;
   /// @returns the worker's id, empty before its first announcement.
   std::string worker() const;
--- /dev/null
+++ b/packages/hosting/simulation/randomised_runs_test.cc
@@ -0,0 +1,70 @@
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+#include <string>
+
+#include "hosting/simulation/protocol_simulation.h"
+
+using namespace zinniacart;
+using namespace zinniacart::simulation;
+
+namespace {
+
+constexpr std::uint64_t kMostSeeds = 40;
+
+/// @returns the first violation that `settings` lead to, if any.
+std::optional<std::string> FirstViolation(ProtocolSettings settings) {
+  for (std::uint64_t seed = 1; seed <= kMostSeeds; ++seed) {
+    settings.seed = seed;
+    try {
+      ProtocolSimulation(settings).Run();
+    } catch (const Violation& violation) {
+      return violation.what();
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+TEST_GROUP(ProtocolRuns){};
+
+TEST(ProtocolRuns, EveryPromiseHoldsUnderAllFaults) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ProtocolSettings settings;
+    settings.seed = seed;
+    std::string broken;
+    try {
+      const ProtocolReport report = ProtocolSimulation(settings).Run();
+      CHECK(report.starts > 0);
+      CHECK(report.faults > 0);
+      CHECK(report.completed > 0);
+    } catch (const Violation& violation) {
+      broken = "seed " + std::to_string(seed) + ": " + violation.what();
+    }
+    STRCMP_EQUAL("", broken.c_str());
+  }
+}
+
+TEST(ProtocolRuns, CatchesAnOwnerThatDoesNotWaitForTheLease) {
+  ProtocolSettings settings;
+  settings.owner_times.lease = Duration(1000);
+  settings.owner_times.confirmation = Duration(500);
+  const auto broken = FirstViolation(settings);
+  CHECK(broken.has_value());
+  STRCMP_CONTAINS("while it runs on", broken->c_str());
+}
+
+TEST(ProtocolRuns, CatchesWorkersThatIgnoreTheirLeases) {
+  ProtocolSettings settings;
+  settings.worker.ignores_leases = true;
+  const auto broken = FirstViolation(settings);
+  CHECK(broken.has_value());
+  STRCMP_CONTAINS("while it runs on", broken->c_str());
+}
+
+TEST(ProtocolRuns, CatchesWorkersThatIgnoreFences) {
+  ProtocolSettings settings;
+  settings.worker.ignores_fences = true;
+  CHECK(FirstViolation(settings).has_value());
+}
--- /dev/null
+++ b/packages/hosting/simulation/simulated_owner.cc
@@ -0,0 +1,191 @@
+#include "hosting/simulation/simulated_owner.h"
+
+#include <utility>
+
+namespace zinniacart::simulation {
+namespace {
+
+constexpr std::size_t kMostWrites = 15;
+constexpr Duration kConfirmEvery{500};
+constexpr Duration kPollEvery{300};
+constexpr Duration kWriteTimeout{900};
+
+}  // namespace
+
+bool SimulatedStore::Commit(Epoch writer,
+                            const std::vector<ProgressWrite>& writes) {
+  if (away || writer != epoch) {
+    return false;
+  }
+  for (const ProgressWrite& write : writes) {
+    const auto found = progress.find(write.job);
+    if ((found == progress.end() ? 0 : found->second.second) !=
+        write.revision) {
+      return false;
+    }
+  }
+  ++revision;
+  for (const ProgressWrite& write : writes) {
+    progress[write.job] = {write.bytes, revision};
+  }
+  return true;
+}
+
+SimulatedOwner::SimulatedOwner(EntryId self,
+                               SchedulerSettings settings,
+                               SimulatedStore& store,
+                               Post post,
+                               SendOrders send,
+                               Scheduler::DecisionLog log)
+    : m_self(std::move(self)),
+      m_settings(settings),
+      m_store(store),
+      m_post(std::move(post)),
+      m_send(std::move(send)),
+      m_log(std::move(log)) {
+  m_clock.Advance(Duration(50000));
+}
+
+void SimulatedOwner::TakeOver(const std::set<HostId>& hosts) {
+  m_hosts = hosts;
+  m_epoch = m_store.epoch = m_store.epoch.Next();
+  m_confirmed_at = m_clock.Now();
+  m_writing = false;
+  ++m_write;
+  m_scheduler = std::make_unique<Scheduler>(m_settings, m_clock, m_log);
+  m_scheduler->Begin(m_epoch, m_self);
+  for (const auto& [id, record] : m_store.jobs) {
+    m_scheduler->AddJob(record, Duration(0));
+  }
+  for (const auto& [id, stored] : m_store.progress) {
+    if (!m_scheduler->RestoreProgress(id, stored.first, stored.second)) {
+      throw std::logic_error("progress of " + id.value() + " is unreadable");
+    }
+  }
+  for (const JobId& id : m_store.cancelled) {
+    m_scheduler->CancelJob(id);
+  }
+  for (const HostId& host : hosts) {
+    m_scheduler->AddHost(host);
+  }
+}
+
+void SimulatedOwner::Advance(Duration duration, bool frozen) {
+  m_clock.Advance(duration);
+  if (!active() || frozen) {
+    return;
+  }
+  Confirm();
+  m_scheduler->OnTick();
+  m_scheduler->Place();
+  Write();
+  const bool poll = m_clock.Now() - m_polled_at >= kPollEvery;
+  if (poll) {
+    m_polled_at = m_clock.Now();
+  }
+  SendAll(poll);
+}
+
+void SimulatedOwner::Confirm() {
+  const Instant now = m_clock.Now();
+  if (now - m_asked_at < kConfirmEvery) {
+    return;
+  }
+  m_asked_at = now;
+  m_post("store", [this, now, epoch = m_epoch] {
+    if (m_store.away || epoch != m_epoch || !active()) {
+      return;
+    }
+    if (m_store.epoch != epoch) {
+      return OnStale();
+    }
+    m_confirmed_at = now;
+  });
+}
+
+void SimulatedOwner::Write() {
+  const Instant now = m_clock.Now();
+  if (m_writing && now - m_write_began < kWriteTimeout) {
+    return;
+  }
+  const auto writes = m_scheduler->TakeWrites(kMostWrites);
+  if (writes.empty()) {
+    m_writing = false;
+    return;
+  }
+  m_writing = true;
+  m_write_began = now;
+  // Until the answer comes, the outcome is unknown: the writes are due again.
+  m_scheduler->OnWriteFailed(writes);
+  const std::uint64_t number = ++m_write;
+  m_post("store", [this, writes, number, epoch = m_epoch] {
+    const bool committed = m_store.Commit(epoch, writes);
+    const bool reachable = !m_store.away;
+    const std::uint64_t revision = m_store.revision;
+    std::map<JobId, std::uint64_t> revisions;
+    for (const ProgressWrite& write : writes) {
+      const auto found = m_store.progress.find(write.job);
+      revisions[write.job] =
+          found == m_store.progress.end() ? 0 : found->second.second;
+    }
+    const bool deposed = m_store.epoch != epoch;
+    m_post(m_self.value(), [=, this] {
+      if (!active() || number != m_write || epoch != m_epoch || !reachable) {
+        return;
+      }
+      m_writing = false;
+      if (committed) {
+        m_scheduler->OnWritten(writes, revision);
+      } else if (deposed) {
+        OnStale();
+      } else {
+        m_scheduler->OnWriteConflict(revisions);
+      }
+    });
+  });
+}
+
+void SimulatedOwner::SendAll(bool poll) {
+  const bool vouch =
+      m_clock.Now() - m_confirmed_at <= m_settings.times.confirmation;
+  std::set<HostId> hosts;
+  for (const HostId& host : m_scheduler->HostsWithOrders()) {
+    hosts.insert(host);
+  }
+  if (poll) {
+    hosts = m_hosts;
+  }
+  for (const HostId& host : hosts) {
+    m_send(host, m_scheduler->TakeOrders(host, vouch));
+  }
+}
+
+void SimulatedOwner::OnReport(const HostId& host, const HostReport& report) {
+  if (active()) {
+    m_scheduler->OnReport(host, report);
+  }
+}
+
+void SimulatedOwner::OnStale() {
+  m_scheduler.reset();
+}
+
+void SimulatedOwner::OnOrdersLost(const HostId& host) {
+  if (active()) {
+    m_scheduler->OnOrdersLost(host);
+  }
+}
+
+void SimulatedOwner::OnJobStored(const JobRecord& record) {
+  if (active()) {
+    m_scheduler->AddJob(record, Duration(0));
+  }
+}
+
+void SimulatedOwner::OnJobCancelled(const JobId& job) {
+  if (active()) {
+    m_scheduler->CancelJob(job);
+  }
+}
+
+}  // namespace zinniacart::simulation
--- /dev/null
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -0,0 +1,144 @@
+#include "hosting/simulation/simulated_worker.h"
+
+#include <algorithm>
+
+namespace zinniacart::simulation {
+namespace {
+
+constexpr std::int64_t kLongestLeaseMs = 10000;
+constexpr int kLeastRunMs = 200;
+constexpr int kMostRunMs = 3000;
+constexpr std::int64_t kMillicores = 4000;
+constexpr std::int64_t kMemoryMb = 8000;
+
+}  // namespace
+
+SimulatedWorker::SimulatedWorker(HostId host,
+                                 TaskOracle& oracle,
+                                 WorkerFaults faults,
+                                 double clock_speed,
+                                 std::uint64_t seed)
+    : m_host(std::move(host)),
+      m_oracle(oracle),
+      m_faults(faults),
+      m_clock_speed(clock_speed),
+      m_random(seed) {}
+
+WorkerInstant SimulatedWorker::Now() const {
+  return WorkerInstant{static_cast<std::int64_t>(m_clock_ms)};
+}
+
+void SimulatedWorker::Advance(Duration duration) {
+  m_clock_ms += static_cast<double>(duration.count()) * m_clock_speed;
+  const bool lapsed =
+      Now().milliseconds > m_lease_until_ms && !m_faults.ignores_leases;
+  const auto runs = m_runs;
+  for (const auto& [id, run] : runs) {
+    if (lapsed) {
+      End(id, EndKind::kLapsed);
+    } else if ((m_runs[id].left -= duration) <= Duration(0)) {
+      const bool fails = std::bernoulli_distribution(m_faults.failing_share)(
+          m_random);
+      End(id, fails ? EndKind::kFailed : EndKind::kDone);
+    }
+  }
+}
+
+void SimulatedWorker::End(const TaskRun& id, EndKind how) {
+  m_runs.erase(id);
+  m_barred[id.task] = std::max(m_barred[id.task], id.run);
+  m_ended.push_back(EndedTask{++m_last_end, id, how, {}});
+  m_oracle.OnEnded(id, m_host, how);
+}
+
+void SimulatedWorker::Crash() {
+  for (const auto& [id, run] : m_runs) {
+    m_oracle.OnEnded(id, m_host, EndKind::kLapsed);
+  }
+  m_runs.clear();
+  m_barred.clear();
+  m_ended.clear();
+  m_last_end = 0;
+  m_announcements = 0;
+  m_fence = Epoch();
+  m_lease_until_ms = 0;
+  m_incarnation = WorkerIncarnation(m_incarnation.value() + 1);
+}
+
+bool SimulatedWorker::Fenced(Epoch token) {
+  if (token < m_fence && !m_faults.ignores_fences) {
+    return true;
+  }
+  m_fence = std::max(m_fence, token);
+  return false;
+}
+
+Result<WorkerLists> SimulatedWorker::Hold(const HoldCall& call) {
+  if (Fenced(call.token)) {
+    return Fail(ErrorCode::kUnreachable, "fence");
+  }
+  const auto longest = Now().milliseconds + kLongestLeaseMs;
+  m_lease_until_ms = std::max(
+      m_lease_until_ms, std::min(longest, call.lease_until.milliseconds));
+  for (const EndedTask& ended : m_ended) {
+    if (ended.number <= call.recorded_ends) {
+      m_oracle.OnEndNoted(ended.id, ended.how);
+    }
+  }
+  std::erase_if(m_ended, [&](const EndedTask& ended) {
+    return ended.number <= call.recorded_ends;
+  });
+  WorkerLists lists{m_incarnation, Now(), {}, m_ended};
+  for (const auto& [id, run] : m_runs) {
+    lists.running.push_back(RunningTask{id, {}, 0, 0});
+  }
+  return lists;
+}
+
+StartAnswer SimulatedWorker::Start(const StartCall& call) {
+  if (Fenced(call.token)) {
+    return StartAnswer::kFenced;
+  }
+  const TaskRun& id = call.order.id;
+  if (m_runs.contains(id)) {
+    return StartAnswer::kStarted;
+  }
+  if (m_barred[id.task] >= id.run) {
+    return StartAnswer::kOld;
+  }
+  m_lease_until_ms = std::max(m_lease_until_ms, call.not_after.milliseconds);
+  if (Now() > call.not_after) {
+    return StartAnswer::kTooLate;
+  }
+  constexpr std::size_t kMostRuns = 4;
+  if (m_runs.size() >= kMostRuns) {
+    return StartAnswer::kNoRoom;
+  }
+  m_oracle.OnStarted(id, m_host);
+  m_runs[id].left = Duration(
+      std::uniform_int_distribution<int>(kLeastRunMs, kMostRunMs)(m_random));
+  return StartAnswer::kStarted;
+}
+
+bool SimulatedWorker::Stop(const StopCall& call) {
+  if (Fenced(call.token)) {
+    return false;
+  }
+  m_barred[call.id.task] = std::max(m_barred[call.id.task], call.id.run);
+  if (m_runs.contains(call.id)) {
+    End(call.id, EndKind::kStopped);
+  }
+  return true;
+}
+
+WorkerFacts SimulatedWorker::Facts() const {
+  WorkerFacts facts;
+  facts.worker = "worker-" + m_host.value();
+  facts.incarnation = m_incarnation;
+  facts.domain = DomainId("domain");
+  facts.service = ServiceId("service");
+  facts.capacity = Resources{kMillicores, kMemoryMb, 0};
+  return facts;
+}
+
+}  // namespace zinniacart::simulation
--- a/packages/hosting/tests/host_supervisor_test.cc
+++ b/packages/hosting/tests/host_supervisor_test.cc
@@ -364,3 +364,59 @@
   CHECK(report.worker_reachable);
   CHECK_FALSE(report.lease_lapsed);
 }
+
+// A start carries a lease of its own. The newest hold asked for less, as the
+// owner was not heard for a while, and is lost.
+TEST(HostSupervisor, AStartExtendsTheLeaseUntilItsDeadline) {
+  Attach();
+  Pass(settings.times.lease - Duration(400));
+  HoldCall newest;
+  for (const WorkerCall& call : supervisor.TakeCalls()) {
+    newest = std::get<HoldCall>(call);
+  }
+  orders.starts.push_back(StartOrder{MakeRun("late", 1), "payload", {}, {}});
+  CHECK(Order());
+  for (const WorkerCall& call : supervisor.TakeCalls()) {
+    CHECK(std::holds_alternative<StartCall>(call));
+  }
+  Pass(Duration(400) + settings.times.margin + Duration(1));
+  supervisor.OnHoldAnswered(newest, Fail(ErrorCode::kUnreachable, "reset"));
+  CHECK_FALSE(supervisor.MakeReport().worker_reachable);
+  CHECK_FALSE(supervisor.MakeReport().lease_lapsed);
+  Pass(settings.times.start_validity);
+  CHECK(supervisor.MakeReport().lease_lapsed);
+}
+
+// A worker that crashed and is back counts its ends anew. A hold that meets
+// its next life unawares must not make it forget ends of that life.
+TEST(HostSupervisor, EndsAreForgottenOnlyWhereTheyWereListed) {
+  Attach();
+  lists.ended = {EndedTask{1, MakeRun("job", 1), EndKind::kDone, {}}};
+  Pass(settings.retry);
+  Exchange();
+  orders.recorded_ends = 1;
+  CHECK(Order());
+  const auto take_hold = [this] {
+    for (const WorkerCall& call : supervisor.TakeCalls()) {
+      if (const auto* hold = std::get_if<HoldCall>(&call)) {
+        return *hold;
+      }
+    }
+    return HoldCall{};
+  };
+  const HoldCall telling = take_hold();
+  LONGS_EQUAL(1, telling.recorded_ends);
+  // It is lost, perhaps with the worker's life.
+  supervisor.OnHoldAnswered(telling, Fail(ErrorCode::kUnreachable, "reset"));
+  Pass(settings.retry);
+  const HoldCall asking = take_hold();
+  LONGS_EQUAL(0, asking.recorded_ends);
+  supervisor.OnHoldAnswered(asking, lists);
+  Pass(settings.retry);
+  const HoldCall again = take_hold();
+  LONGS_EQUAL(1, again.recorded_ends);
+  lists.ended.clear();
+  supervisor.OnHoldAnswered(again, lists);
+  Pass(settings.retry);
+  LONGS_EQUAL(0, take_hold().recorded_ends);
+}
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -111,6 +111,7 @@
   // Reports.
   void AdoptAgent(Host& host, const HostReport& report);
   void AdoptIncarnation(Host& host, const HostReport& report);
+  void LeaveOldLife(Host& host, const TaskRun& id, bool listed);
   void HandleEnds(Host& host, const HostReport& report);
   void HandleRunning(Host& host, const HostReport& report);
   void MarkStarted(Host& host, HostedRun& run);
@@ -122,6 +123,7 @@
   void ApplyUnexpectedEnd(const EndedTask& ended);
   void LearnRunTime(const Job& job, const HostedRun& run);
   void CountOutcome(Host& host, const TaskRun& id, bool failed);
+  void LapseAtAgent(Host& host);
   void LapseRuns(Host& host, const char* reason);
   void EraseRun(Host& host, const TaskRun& id);
   void DropRun(Host& host,
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -27,6 +27,13 @@
   return "unknown";
 }
 
+/// @returns whether the run is among those that the worker lists.
+bool Lists(const HostReport& report, const TaskRun& id) {
+  const auto is_it = [&id](const auto& row) { return row.id == id; };
+  return std::any_of(report.running.begin(), report.running.end(), is_it) ||
+         std::any_of(report.ended.begin(), report.ended.end(), is_it);
+}
+
 }  // namespace
 
 void Scheduler::OnReport(const HostId& id, const HostReport& report) {
@@ -43,7 +50,7 @@
   }
   AdoptIncarnation(host, report);
   if (report.lease_lapsed) {
-    LapseRuns(host, "the agent reports that the lease has lapsed");
+    LapseAtAgent(host);
   }
   if (!report.listed) {
     return;
@@ -83,15 +90,34 @@
   host.processed_ends = 0;
   host.recorded_ends = 0;
   host.orphans.clear();
-  // Runs of another life of the worker ended with it.
   const auto runs = host.runs;
   for (const auto& [id, run] : runs) {
     if (run.incarnation != host.incarnation) {
-      DropRun(host, id, run.latest.checkpoint, false, "the worker restarted");
+      LeaveOldLife(host, id, Lists(report, id));
     }
   }
 }
 
+void Scheduler::LeaveOldLife(Host& host, const TaskRun& id, bool listed) {
+  HostedRun& run = host.runs.at(id);
+  if (listed || run.recovered) {
+    // It began in the new life; or the worker's list will tell, once it knows
+    // our epoch.
+    run.incarnation = host.incarnation;
+    return;
+  }
+  if (!run.ordered || run.started) {
+    return DropRun(host, id, run.latest.checkpoint, false,
+                   "the worker restarted");
+  }
+  // A start that is on its way may be carried out by the new life.
+  run.incarnation = host.incarnation;
+  run.stopping = true;
+  run.delivered_to = {};
+  host.has_orders = true;
+  m_log({"run stopped", id, host.id(), "its start may reach the next life"});
+}
+
 void Scheduler::HandleEnds(Host& host, const HostReport& report) {
   for (const EndedTask& ended : report.ended) {
     if (ended.number <= host.processed_ends) {
@@ -264,6 +290,20 @@
   }
 }
 
+void Scheduler::LapseAtAgent(Host& host) {
+  const auto runs = host.runs;
+  for (const auto& [id, run] : runs) {
+    // The agent may send a start that it has as soon as the worker answers
+    // again; its result will tell.
+    const bool unresolved = run.ordered && !run.started && !run.recovered &&
+                            run.delivered_to == host.agent;
+    if (!unresolved) {
+      DropRun(host, id, run.latest.checkpoint, false,
+              "the agent reports that the lease has lapsed");
+    }
+  }
+}
+
 void Scheduler::LapseRuns(Host& host, const char* reason) {
   const auto runs = host.runs;
   for (const auto& [id, run] : runs) {
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -394,3 +394,80 @@
   LONGS_EQUAL(1, harness.scheduler().CountWaiting(QueueId("queue")));
   LONGS_EQUAL(0, harness.scheduler().CountWaiting(QueueId("other")));
 }
+
+// The worker crashed and is back under its id while a start was on its way:
+// nothing in the start tells its new life from the old one.
+TEST(Scheduler, AStartThatMayReachTheWorkersNextLifeIsStoppedThereFirst) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  LONGS_EQUAL(1, harness.Orders("a").starts.size());
+  HostReport& report = harness.report("a");
+  report.incarnation = WorkerIncarnation(2000);
+  report.facts->incarnation = WorkerIncarnation(2000);
+  harness.Report("a");
+  harness.scheduler().Place();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+  const HostOrders orders = harness.Orders("a");
+  CHECK(orders.stops.at(0) == MakeRun(job, 0, 1));
+  // The stop bars the run; only then may the task start again.
+  report.results = {OrderResult{MakeRun(job, 0, 1), OrderOutcome::kStopped}};
+  harness.Report("a");
+  harness.scheduler().Place();
+  harness.Write();
+  CHECK(harness.Orders("a").starts.at(0).id == MakeRun(job, 0, 2));
+}
+
+TEST(Scheduler, ARecoveredRunMayBeAtWorkInTheWorkersNextLife) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  HostReport& report = harness.report("a");
+  report.incarnation = WorkerIncarnation(2000);
+  report.facts->incarnation = WorkerIncarnation(2000);
+  report.running = {RunningTask{MakeRun(job, 0, 1), {}, 0, 0}};
+  harness.TakeOver(2);
+  harness.Report("a");
+  harness.RunRound();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+  CHECK(harness.Orders("a").stops.empty());
+}
+
+// The agent reported while the worker did not answer, and sent the start when
+// it answered again.
+TEST(Scheduler, AStartThatTheAgentHasNotResolvedOutlivesALapse) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  LONGS_EQUAL(1, harness.Orders("a").starts.size());
+  HostReport& report = harness.report("a");
+  report.lease_lapsed = true;
+  harness.Report("a");
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+  report.results = {OrderResult{MakeRun(job, 0, 1), OrderOutcome::kRefused}};
+  harness.Report("a");
+  LONGS_EQUAL(0, harness.HostsOf(job).size());
+}
+
+TEST(Scheduler, ARunThatTheNextLifeListsIsNotPlacedAgain) {
+  harness.AddHost("a", 4);
+  harness.AddHost("b", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  const std::string name = harness.HostsOf(job).at(0);
+  // The start was answered by the next life before anybody knew of it.
+  HostReport& report = harness.report(name);
+  report.incarnation = WorkerIncarnation(2000);
+  report.facts->incarnation = WorkerIncarnation(2000);
+  harness.Report(name);
+  harness.scheduler().Place();
+  harness.Write();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+  CHECK(harness.Orders(name).stops.empty());
+  harness.End(name, MakeRun(job, 0, 1), EndKind::kDone);
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(job) == JobState::kCompleted);
+}
