Order a worker's lists by its clock; bind a start to its own grant

Orders that were on their way for long reached an agent whose newer grant let it carry out a start that the owner had given up.

Change: lists count in the order of the worker's clock and life; each start keeps the grant that came with it. Both tests failed first.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -56,7 +56,10 @@
     m_urgent_hold = true;
   }
   for (const StartOrder& order : orders.starts) {
-    m_starts.try_emplace(order.id, Start{order, {}, {}, {}, {}});
+    Start& start =
+        m_starts.try_emplace(order.id, Start{order, {}, {}, {}, {}, {}})
+            .first->second;
+    start.granted_stamp = std::max(start.granted_stamp, orders.granted_stamp);
   }
   for (const TaskRun& id : orders.stops) {
     Stop& stop = m_stops[id];
@@ -104,7 +107,7 @@
   if (call.wait.count() > 0) {
     m_hold_in_flight = false;
   }
-  if (call.id < m_newest_list) {
+  if (lists ? Overtaken(*lists) : call.id < m_newest_answered) {
     return;
   }
   if (!lists) {
@@ -115,7 +118,8 @@
     m_hold_not_before = m_clock.Now() + m_settings.retry;
     return;
   }
-  m_newest_list = call.id;
+  m_newest_answered = std::max(m_newest_answered, call.id);
+  ++m_lists_applied;
   if (!m_reachable) {
     Changed();
   }
@@ -126,6 +130,13 @@
   }
 }
 
+bool HostSupervisor::Overtaken(const WorkerLists& lists) const {
+  if (!m_incarnation || lists.incarnation > *m_incarnation) {
+    return false;
+  }
+  return lists.incarnation < *m_incarnation || lists.clock < m_worker_clock;
+}
+
 std::uint64_t HostSupervisor::EndsToForget() const {
   // A worker that does not answer may have crashed and count its ends anew.
   const bool listed =
@@ -266,7 +277,7 @@
     if (start.phase != StartPhase::kWaiting || !m_listed) {
       continue;
     }
-    if (!MayStart() || m_stops.contains(id)) {
+    if (!MayStart(start) || m_stops.contains(id)) {
       Resolve(start, OrderOutcome::kRefused);
       continue;
     }
@@ -342,8 +353,8 @@
                        (m_clock.Now() - m_worker_clock_at).count()};
 }
 
-bool HostSupervisor::MayStart() const {
-  const Instant until = m_granted_stamp + m_settings.times.lease;
+bool HostSupervisor::MayStart(const Start& start) const {
+  const Instant until = start.granted_stamp + m_settings.times.lease;
   const bool draining = m_incarnation && m_facts.contains(*m_incarnation) &&
                         m_facts.at(*m_incarnation).first.draining;
   return m_reachable && !draining &&
@@ -391,7 +402,7 @@
     report.facts = facts->second.first;
   }
   report.listed = m_listed;
-  report.list_number = m_newest_list;
+  report.list_number = m_lists_applied;
   report.worker_reachable = m_reachable;
   report.lease_lapsed = LeaseLapsed();
   for (const auto& [id, listed] : m_running) {
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -69,6 +69,7 @@
     WorkerInstant not_after;
     OrderOutcome outcome = OrderOutcome::kRefused;
     Instant resolved_at;
+    Instant granted_stamp;  ///< The newest that came with this start.
   };
   struct Stop {
     bool sent = false;
@@ -93,8 +94,10 @@
   std::optional<HoldCall> NextHold();
   std::optional<WorkerInstant> LeaseUntil() const;
   WorkerInstant WorkerNow() const;
-  bool MayStart() const;
+  bool MayStart(const Start& start) const;
   bool LeaseLapsed() const;
+  /// @returns whether newer lists of the worker are known.
+  bool Overtaken(const WorkerLists& lists) const;
   /// @returns up to which number the worker may forget ends; 0: none.
   std::uint64_t EndsToForget() const;
   bool EndsWait() const;
@@ -118,7 +121,8 @@
   std::uint64_t m_events = 0;
   bool m_hold_in_flight = false;
   bool m_urgent_hold = false;
-  std::uint64_t m_newest_list = 0;
+  std::uint64_t m_newest_answered = 0;  ///< The newest hold with an answer.
+  std::uint64_t m_lists_applied = 0;
   Instant m_hold_not_before;
   bool m_reachable = false;
   /// No call asked the worker for a lease beyond this.
--- a/packages/hosting/tests/host_supervisor_test.cc
+++ b/packages/hosting/tests/host_supervisor_test.cc
@@ -420,3 +420,45 @@
   Pass(settings.retry);
   LONGS_EQUAL(0, take_hold().recorded_ends);
 }
+
+// A call that waits at the worker is carried out after a later one that does
+// not, and answers overtake each other: the worker's clock orders the lists.
+TEST(HostSupervisor, ListsCountInTheOrderInWhichTheWorkerTookThem) {
+  Attach();
+  Pass(settings.retry);
+  HoldCall waiting;
+  for (const WorkerCall& call : supervisor.TakeCalls()) {
+    waiting = std::get<HoldCall>(call);
+  }
+  orders.epoch = Epoch(4);
+  CHECK(Order());
+  HoldCall urgent;
+  for (const WorkerCall& call : supervisor.TakeCalls()) {
+    urgent = std::get<HoldCall>(call);
+  }
+  const WorkerLists before = lists;
+  Pass(Duration(50));
+  lists.running = {RunningTask{MakeRun("job", 1), {}, 0, 0}};
+  supervisor.OnHoldAnswered(waiting, lists);
+  supervisor.OnHoldAnswered(urgent, before);
+  LONGS_EQUAL(1, supervisor.MakeReport().running.size());
+}
+
+// Orders that were on their way for long are overtaken by newer ones; by then
+// the owner may have given their starts up.
+TEST(HostSupervisor, AStartIsBoundByTheGrantThatCameWithIt) {
+  Attach();
+  HostOrders overtaken = orders;
+  overtaken.granted_stamp = clock.Now();
+  overtaken.starts = {StartOrder{MakeRun("given up", 1), "payload", {}, {}}};
+  Pass(settings.times.lease - settings.times.start_validity + Duration(1));
+  CHECK(Order());
+  Exchange();
+  CHECK(supervisor.OnOrders(overtaken).has_value());
+  for (const WorkerCall& call : Exchange()) {
+    CHECK_FALSE(std::holds_alternative<StartCall>(call));
+  }
+  const HostReport report = supervisor.MakeReport();
+  LONGS_EQUAL(1, report.results.size());
+  CHECK(report.results[0].outcome == OrderOutcome::kRefused);
+}
