Keep a start that was answered since a list was asked for

Adopting the new life forgot the run, and the owner, told that it runs, found it gone and placed it again.

Change: what began since the list was asked for stays until the next list. The test failed first.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -94,7 +94,8 @@
   m_starts.clear();
   m_stops.clear();
   m_paces.clear();
-  m_running.clear();
+  // Runs that began since the list was asked for may be the new life's; the
+  // next list tells.
   m_ended.clear();
   m_recorded_ends = 0;
   std::erase_if(m_facts,
--- a/packages/hosting/tests/host_supervisor_test.cc
+++ b/packages/hosting/tests/host_supervisor_test.cc
@@ -462,3 +462,29 @@
   LONGS_EQUAL(1, report.results.size());
   CHECK(report.results[0].outcome == OrderOutcome::kRefused);
 }
+
+// The worker crashed while a hold was on its way; its next life took the hold,
+// then a start. The start is answered first.
+TEST(HostSupervisor, AStartThatWasAnsweredSinceAListWasAskedForIsKept) {
+  Attach();
+  Pass(settings.retry);
+  HoldCall asked;
+  for (const WorkerCall& call : supervisor.TakeCalls()) {
+    asked = std::get<HoldCall>(call);
+  }
+  orders.starts.push_back(StartOrder{MakeRun("job", 1), "payload", {}, {}});
+  CHECK(Order());
+  for (const WorkerCall& call : supervisor.TakeCalls()) {
+    supervisor.OnStartAnswered(std::get<StartCall>(call),
+                               StartAnswer::kStarted);
+  }
+  lists.incarnation = kNextLife;
+  supervisor.OnHoldAnswered(asked, lists);
+  HostReport report = supervisor.MakeReport();
+  CHECK(report.incarnation == kNextLife);
+  LONGS_EQUAL(1, report.running.size());
+  // A list that was asked for later is certain.
+  Pass(settings.hold_wait);
+  Exchange();
+  LONGS_EQUAL(0, supervisor.MakeReport().running.size());
+}
