Do not let an answer to an older call vouch for the worker

Change: only an answer to a call newer than the newest failed one shows that the worker lives; a run stays known from its newest evidence. Runs of the simulation are up to 9 s long now and a tenth of the calls wait on their way, so that workers which ignore leases are caught.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -116,15 +116,17 @@
       Changed();
     }
     m_reachable = false;
+    m_newest_failed = std::max(m_newest_failed, call.id);
     m_hold_not_before = m_clock.Now() + m_settings.retry;
     return;
   }
   m_newest_answered = std::max(m_newest_answered, call.id);
   ++m_lists_applied;
-  if (!m_reachable) {
+  const bool reachable = call.id > m_newest_failed;
+  if (reachable != m_reachable) {
     Changed();
   }
-  m_reachable = true;
+  m_reachable = reachable;
   ApplyLists(call, *lists);
   if (EndsWait()) {
     m_hold_not_before = m_clock.Now() + m_settings.retry;
@@ -156,7 +158,10 @@
   m_worker_clock_at = m_clock.Now();
   std::map<TaskRun, Listed> running;
   for (const RunningTask& task : lists.running) {
-    running[task.id] = Listed{task, call.id};
+    const auto known = m_running.find(task.id);
+    const std::uint64_t since =
+        known == m_running.end() ? 0 : known->second.known_from;
+    running[task.id] = Listed{task, std::max(since, call.id)};
   }
   for (const auto& [id, listed] : m_running) {
     const bool ended =
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -122,6 +122,7 @@
   bool m_hold_in_flight = false;
   bool m_urgent_hold = false;
   std::uint64_t m_newest_answered = 0;  ///< The newest hold with an answer.
+  std::uint64_t m_newest_failed = 0;    ///< The newest hold without one.
   std::uint64_t m_lists_applied = 0;
   Instant m_hold_not_before;
   bool m_reachable = false;
--- a/packages/hosting/simulation/protocol_simulation.cc
+++ b/packages/hosting/simulation/protocol_simulation.cc
@@ -215,7 +215,9 @@
     constexpr Duration kCallTimeout{700};
     return Later(kCallTimeout, [reply] { reply(std::nullopt); });
   }
-  Duration wait(Random(1, 10));
+  // Some calls wait on their way and are overtaken.
+  constexpr double kSlowShare = 0.1;
+  Duration wait(Random(1, Chance(kSlowShare) ? 500 : 10));
   if constexpr (std::is_same_v<Request, HoldCall>) {
     // It is answered at the next end or after its wait.
     wait += Duration(Random(0, static_cast<int>(request.wait.count())));
--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -7,7 +7,7 @@
 
 constexpr std::int64_t kLongestLeaseMs = 10000;
 constexpr int kLeastRunMs = 200;
-constexpr int kMostRunMs = 3000;
+constexpr int kMostRunMs = 9000;
 constexpr std::int64_t kMillicores = 4000;
 constexpr std::int64_t kMemoryMb = 8000;
 
--- a/packages/hosting/tests/host_supervisor_test.cc
+++ b/packages/hosting/tests/host_supervisor_test.cc
@@ -488,3 +488,56 @@
   Exchange();
   LONGS_EQUAL(0, supervisor.MakeReport().running.size());
 }
+
+// The newer call failed because the worker crashed in between.
+TEST(HostSupervisor, AnAnswerToAnOlderCallDoesNotShowThatTheWorkerLives) {
+  Attach();
+  Pass(settings.retry);
+  HoldCall older;
+  for (const WorkerCall& call : supervisor.TakeCalls()) {
+    older = std::get<HoldCall>(call);
+  }
+  orders.recorded_ends = 1;
+  CHECK(Order());
+  for (const WorkerCall& call : supervisor.TakeCalls()) {
+    supervisor.OnHoldAnswered(std::get<HoldCall>(call),
+                              Fail(ErrorCode::kUnreachable, "reset"));
+  }
+  CHECK_FALSE(supervisor.MakeReport().worker_reachable);
+  lists.ended = {EndedTask{1, MakeRun("job", 1), EndKind::kDone, {}}};
+  supervisor.OnHoldAnswered(older, lists);
+  CHECK_FALSE(supervisor.MakeReport().worker_reachable);
+}
+
+// Two lists of the same millisecond: what was answered since both were asked
+// for outlives either.
+TEST(HostSupervisor, AListOfTheSameMomentDoesNotMakeARunLessCertain) {
+  Attach();
+  Pass(settings.retry);
+  std::vector<HoldCall> asked;
+  const auto ask = [&] {
+    for (const WorkerCall& call : supervisor.TakeCalls()) {
+      if (const auto* hold = std::get_if<HoldCall>(&call)) {
+        asked.push_back(*hold);
+      } else {
+        supervisor.OnStartAnswered(std::get<StartCall>(call),
+                                   StartAnswer::kStarted);
+      }
+    }
+  };
+  ask();
+  orders.epoch = Epoch(4);
+  CHECK(Order());
+  ask();
+  supervisor.OnHoldAnswered(asked.at(1), lists);
+  orders.recorded_ends = 1;
+  CHECK(Order());
+  ask();
+  Start(MakeRun("job", 1));
+  ask();
+  WorkerLists with_run = lists;
+  with_run.running = {RunningTask{MakeRun("job", 1), {}, 0, 0}};
+  supervisor.OnHoldAnswered(asked.at(0), with_run);
+  supervisor.OnHoldAnswered(asked.at(2), lists);
+  LONGS_EQUAL(1, supervisor.MakeReport().running.size());
+}
