--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -291,8 +291,8 @@
     start.not_after = WorkerInstant{WorkerNow().milliseconds +
                                     m_settings.times.start_validity.count()};
     // The deadline of a start holds all that the worker runs.
-    m_lease_asked =
-        std::max(m_lease_asked, m_clock.Now() + m_settings.times.start_validity);
+    m_lease_asked = std::max(m_lease_asked,
+                             m_clock.Now() + m_settings.times.start_validity);
     calls.emplace_back(
         StartCall{start.order, worker(), m_epoch, start.not_after});
   }
--- a/packages/hosting/simulation/protocol_simulation.cc
+++ b/packages/hosting/simulation/protocol_simulation.cc
@@ -62,9 +62,8 @@
               SendOrders(number, host, orders);
             },
             [this, name](const DecisionEvent& event) {
-              Trace(name + ": " + event.name + " " +
-                    event.run.task.ToString() + " run " +
-                    std::to_string(event.run.run.value()) + " " +
+              Trace(name + ": " + event.name + " " + event.run.task.ToString() +
+                    " run " + std::to_string(event.run.run.value()) + " " +
                     event.host.value() + " " + event.detail);
             }),
         {}});
@@ -169,8 +168,7 @@
   if (now - agent.announced_at >= kAnnounceEvery) {
     agent.announced_at = now;
     SimulatedWorker& worker = *m_workers.at(host);
-    agent.supervisor->OnAnnouncement(worker.Facts(),
-                                     worker.NextAnnouncement());
+    agent.supervisor->OnAnnouncement(worker.Facts(), worker.NextAnnouncement());
   }
   for (const WorkerCall& call : agent.supervisor->TakeCalls()) {
     Call(host, call);
@@ -224,9 +222,8 @@
   }
   Later(wait, [this, carry_out, reply] {
     const auto outcome = carry_out();
-    Later(Duration(Random(1, Chance(0.1) ? 300 : 10)), [reply, outcome] {
-      reply(std::make_optional(outcome.second));
-    });
+    Later(Duration(Random(1, Chance(0.1) ? 300 : 10)),
+          [reply, outcome] { reply(std::make_optional(outcome.second)); });
   });
 }
 
@@ -239,9 +236,9 @@
         },
         [one = *hold](HostSupervisor& agent,
                       const std::optional<Result<WorkerLists>>& lists) {
-          agent.OnHoldAnswered(one, lists ? *lists
-                                          : Fail(ErrorCode::kOutcomeUnknown,
-                                                 "no answer"));
+          agent.OnHoldAnswered(
+              one,
+              lists ? *lists : Fail(ErrorCode::kOutcomeUnknown, "no answer"));
         });
   }
   if (const auto* start = std::get_if<StartCall>(&call)) {
@@ -252,8 +249,7 @@
         },
         [one = *start](HostSupervisor& agent,
                        const std::optional<StartAnswer>& answer) {
-          agent.OnStartAnswered(one,
-                                answer.value_or(StartAnswer::kUnanswered));
+          agent.OnStartAnswered(one, answer.value_or(StartAnswer::kUnanswered));
         });
   }
   if (const auto* stop = std::get_if<StopCall>(&call)) {
--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -37,8 +37,8 @@
     if (lapsed) {
       End(id, EndKind::kLapsed);
     } else if ((m_runs[id].left -= duration) <= Duration(0)) {
-      const bool fails = std::bernoulli_distribution(m_faults.failing_share)(
-          m_random);
+      const bool fails =
+          std::bernoulli_distribution(m_faults.failing_share)(m_random);
       End(id, fails ? EndKind::kFailed : EndKind::kDone);
     }
   }
@@ -78,8 +78,8 @@
     return Fail(ErrorCode::kUnreachable, "fence");
   }
   const auto longest = Now().milliseconds + kLongestLeaseMs;
-  m_lease_until_ms = std::max(
-      m_lease_until_ms, std::min(longest, call.lease_until.milliseconds));
+  m_lease_until_ms = std::max(m_lease_until_ms,
+                              std::min(longest, call.lease_until.milliseconds));
   for (const EndedTask& ended : m_ended) {
     if (ended.number <= call.recorded_ends) {
       m_oracle.OnEndNoted(ended.id, ended.how);
--- a/packages/hosting/simulation/simulated_worker.h
+++ b/packages/hosting/simulation/simulated_worker.h
@@ -15,7 +15,7 @@
   bool ignores_leases = false;
   bool ignores_fences = false;
   bool ignores_deadlines = false;  ///< Of starts that are carried out late.
-  double failing_share = 0.03;  ///< Runs that end failed.
+  double failing_share = 0.03;     ///< Runs that end failed.
 };
 
 /// A worker that runs tasks in true time, holds their lease by its own clock
