Read states and epochs in one place, and say where they cannot be read

An unknown state of a job became queued without a word, as did progress without a state; an unreadable epoch became 0. Callers are told that the state is not known, and the cause is logged. ParseState stood twice; SupervisorSettings::longest_lease was set and never read.

--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -16,8 +16,6 @@
 
 struct SupervisorSettings {
   LeaseTimes times;
-  /// The longest lease that a worker accepts.
-  Duration longest_lease{10000};
   /// How long a hold waits for an end; also the age of the lists at most.
   Duration hold_wait{400};
   /// Pause after a hold that failed.
--- a/packages/jobs/job_state.cc
+++ b/packages/jobs/job_state.cc
@@ -18,4 +18,16 @@
   return "unknown";
 }
 
+Result<JobState> ParseJobState(const std::string& name) {
+  for (const JobState state :
+       {JobState::kQueued, JobState::kRunning, JobState::kCompleted,
+        JobState::kFailed, JobState::kCancelled}) {
+    if (name == ToString(state)) {
+      return state;
+    }
+  }
+  return Fail(ErrorCode::kInvalidArgument,
+              "\"" + name + "\" is not a job's state", "state");
+}
+
 }  // namespace zinniacart
--- a/packages/jobs/tests/job_spec_test.cc
+++ b/packages/jobs/tests/job_spec_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "jobs/job_record.h"
+#include "jobs/job_state.h"
 #include "jobs/queue.h"
 #include "jobs/task_key.h"
 
@@ -114,3 +115,20 @@
   CHECK(configuration.Find("b.example", "/x/1") == nullptr);
   CHECK(configuration.Find("a.example", "/z") == nullptr);
 }
+
+TEST_GROUP(JobState){};
+
+TEST(JobState, EachNameIsReadBack) {
+  for (const JobState state :
+       {JobState::kQueued, JobState::kRunning, JobState::kCompleted,
+        JobState::kFailed, JobState::kCancelled}) {
+    CHECK(ParseJobState(ToString(state)) == state);
+  }
+}
+
+TEST(JobState, AnUnknownNameIsAnErrorAndNoState) {
+  const auto state = ParseJobState("paused");
+  CHECK_FALSE(state.has_value());
+  CHECK(state.error().code == ErrorCode::kInvalidArgument);
+  STRCMP_CONTAINS("paused", state.error().detail.c_str());
+}
--- a/packages/scheduling/job.cc
+++ b/packages/scheduling/job.cc
@@ -60,17 +60,6 @@
   return task;
 }
 
-std::optional<JobState> ParseState(const std::string& text) {
-  for (const JobState state :
-       {JobState::kQueued, JobState::kRunning, JobState::kCompleted,
-        JobState::kFailed, JobState::kCancelled}) {
-    if (text == ToString(state)) {
-      return state;
-    }
-  }
-  return std::nullopt;
-}
-
 }  // namespace
 
 Job::Job(JobRecord record, Instant accepted)
@@ -268,7 +257,7 @@
                                   std::uint64_t revision) {
   try {
     const json row = json::parse(bytes);
-    const auto state = ParseState(row.at("state"));
+    const auto state = ParseJobState(row.at("state"));
     if (!state) {
       return Fail(ErrorCode::kInvalidArgument,
                   "state " + row.at("state").dump(), "job " + id().value());
--- a/packages/site/entry_directory.cc
+++ b/packages/site/entry_directory.cc
@@ -59,8 +59,10 @@
     m_ownership.owner_revision = item.revision;
   } else if (item.key == store_keys::kEpoch) {
     std::uint64_t epoch = 0;
-    std::from_chars(item.value.data(), item.value.data() + item.value.size(),
-                    epoch);
+    const char* const end = item.value.data() + item.value.size();
+    if (std::from_chars(item.value.data(), end, epoch).ptr != end) {
+      LogError("epoch cannot be read", {{"value", item.value}});
+    }
     m_ownership.last_epoch = Epoch(epoch);
     m_ownership.epoch_revision = item.revision;
   } else if (item.key.starts_with(store_keys::kEntryPrefix)) {
--- a/packages/site/job_intake.cc
+++ b/packages/site/job_intake.cc
@@ -37,15 +37,21 @@
   return IntakeOutcome::kUnknown;
 }
 
-JobState ParseState(const std::string& text) {
-  for (const JobState state :
-       {JobState::kQueued, JobState::kRunning, JobState::kCompleted,
-        JobState::kFailed, JobState::kCancelled}) {
-    if (text == ToString(state)) {
-      return state;
-    }
+/// @returns the state that a stored progress record holds.
+Result<JobState> StateOfProgress(const std::string& bytes) {
+  const auto row = nlohmann::json::parse(bytes, nullptr, false);
+  const auto name = row.is_object() ? row.find("state") : row.end();
+  if (name == row.end() || !name->is_string()) {
+    return Fail(ErrorCode::kInvalidArgument, "the progress has no state",
+                "state");
   }
-  return JobState::kQueued;
+  return ParseJobState(name->get<std::string>());
+}
+
+/// Tells of a state that cannot be read; callers get no state then.
+void LogUnreadable(const JobId& job, const Error& error) {
+  LogError("job state cannot be read",
+           {{"job", job.value()}, {"detail", error.detail}});
 }
 
 }  // namespace
@@ -228,7 +234,11 @@
                queue.value(), kAskOwner,
                [this, job, queue, done](Result<net::Response> response) {
                  if (response && response->status == kOk) {
-                   return done(ParseState(response->body));
+                   const auto state = ParseJobState(response->body);
+                   if (state) {
+                     return done(*state);
+                   }
+                   LogUnreadable(job, state.error());
                  }
                  ReadState(job, queue, done);
                });
@@ -256,22 +266,24 @@
 
 void JobIntake::ReadProgress(const JobId& job,
                              std::function<void(Result<JobState>)> done) {
-  m_store.Get(
-      store_keys::Progress(job), kReadTimeout,
-      [this, job, done](Result<StoreItem> progress) {
-        JobState state = JobState::kQueued;
-        if (progress) {
-          const auto row =
-              nlohmann::json::parse(progress->value, nullptr, false);
-          state = row.is_object() ? ParseState(row.value("state", "queued"))
-                                  : JobState::kQueued;
-        } else if (progress.error().code != ErrorCode::kNotFound) {
-          return done(tl::unexpected(progress.error()));
-        }
-        if (IsTerminal(state)) {
-          return done(state);
-        }
-        m_store.Get(store_keys::Cancelled(job), kReadTimeout,
+  m_store.Get(store_keys::Progress(job), kReadTimeout,
+              [this, job, done](Result<StoreItem> progress) {
+                JobState state = JobState::kQueued;
+                if (progress) {
+                  const auto stored = StateOfProgress(progress->value);
+                  if (!stored) {
+                    LogUnreadable(job, stored.error());
+                    return done(tl::unexpected(stored.error()));
+                  }
+                  state = *stored;
+                } else if (progress.error().code != ErrorCode::kNotFound) {
+                  return done(tl::unexpected(progress.error()));
+                }
+                if (IsTerminal(state)) {
+                  return done(state);
+                }
+                m_store.Get(
+                    store_keys::Cancelled(job), kReadTimeout,
                     [state, done](Result<StoreItem> cancelled) {
                       if (cancelled) {
                         return done(JobState::kCancelled);
@@ -281,7 +293,7 @@
                       }
                       done(state);
                     });
-      });
+              });
 }
 
 void JobIntake::CountWaiting(const QueueId& queue,
