Keep the checkpoint of a run whose worker restarted

Change: DropRun takes the checkpoint by value. The test failed first (the freed bytes could not even be written as JSON, which ends the process).

--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -126,9 +126,10 @@
   void LapseAtAgent(Host& host);
   void LapseRuns(Host& host, const char* reason);
   void EraseRun(Host& host, const TaskRun& id);
+  /// @param checkpoint by value: it may be the run's own.
   void DropRun(Host& host,
                const TaskRun& id,
-               const CheckpointId& checkpoint,
+               CheckpointId checkpoint,
                bool failed,
                const char* reason);
   void AdvanceRecordedEnds(Host& host);
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -326,7 +326,7 @@
 
 void Scheduler::DropRun(Host& host,
                         const TaskRun& id,
-                        const CheckpointId& checkpoint,
+                        CheckpointId checkpoint,
                         bool failed,
                         const char* reason) {
   EraseRun(host, id);
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -471,3 +471,24 @@
   harness.Write();
   CHECK(harness.scheduler().StateOf(job) == JobState::kCompleted);
 }
+
+TEST(Scheduler, AfterACrashOfItsWorkerATaskResumesFromItsOwnCheckpoint) {
+  harness.AddHost("a", 4);
+  StepSpec step = MakeStep(1, 1000);
+  step.checkpoints = true;
+  const JobId job = harness.AddJob("job", step);
+  harness.RunRound();
+  // Longer than what a string holds in place.
+  const std::string checkpoint = "00000bb87a21d94b-of-the-first-run";
+  HostReport& report = harness.report("a");
+  report.running.at(0).checkpoint = CheckpointId(checkpoint);
+  harness.Report("a");
+  report.incarnation = WorkerIncarnation(2000);
+  report.facts->incarnation = WorkerIncarnation(2000);
+  report.running.clear();
+  harness.Report("a");
+  harness.scheduler().Place();
+  harness.Write();
+  STRCMP_EQUAL(checkpoint.c_str(),
+               harness.Orders("a").starts.at(0).resume_from.value().c_str());
+}
