Order a stop, and name full speed and the planned margin, in one place

Read again: the three lines that order a stop stood in four places, kFullSpeed in three files, and Host took the planned margin from settings of its own making instead of its HostPacing's. Host::OrderStop, host_pacing.h and HostPacing::planned_margin serve all.

--- a/packages/scheduling/consolidation.cc
+++ b/packages/scheduling/consolidation.cc
@@ -82,9 +82,10 @@
 }
 
 /// @returns the moves that empty the host, nothing where one does not fit.
-std::optional<std::vector<ServingMove>> Empty(const ConsolidationView& view,
-                                              const Host& host,
-                                              RoomTaken taken) {
+std::optional<std::vector<ServingMove>> MovesThatEmpty(
+    const ConsolidationView& view,
+    const Host& host,
+    RoomTaken taken) {
   std::vector<ServingMove> moves;
   for (const auto& [id, run] : host.runs) {
     if (!run.serves || run.stopping) {
@@ -119,7 +120,7 @@
     return std::nullopt;
   }
   for (const Host* host : ServingHosts(view.placement)) {
-    const auto moves = Empty(view, *host, underway.room);
+    const auto moves = MovesThatEmpty(view, *host, underway.room);
     if (!moves) {
       continue;
     }
--- a/packages/scheduling/host.cc
+++ b/packages/scheduling/host.cc
@@ -8,7 +8,6 @@
 /// The part of its processors that a serving task leaves idle at most times:
 /// it is sized for its peak.
 constexpr double kServingIdleShare = 0.4;
-constexpr int kFullSpeed = 100;
 /// Assumed of a serving task that has not been measured yet.
 constexpr double kUnmeasuredMargin = 2.0;
 /// Less margin than this counts as this much, where something is divided by
@@ -17,6 +16,12 @@
 
 }  // namespace
 
+void Host::OrderStop(HostedRun& run) {
+  run.stopping = true;
+  run.delivered_to = {};
+  has_orders = true;
+}
+
 Resources Host::Free() const {
   if (!facts) {
     return {};
@@ -63,7 +68,7 @@
       continue;
     }
     const double room = run.expected_margin.value_or(kUnmeasuredMargin) -
-                        PacingSettings().planned_margin;
+                        pacing.planned_margin();
     double loss = 0;
     for (const auto& [working_image, working_cores] : working) {
       const HarmBelief harm = model.Of(run.image, working_image, now);
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -26,7 +26,7 @@
   bool serves = false;
   Duration estimate{0};
   Duration latency_target{0};
-  int wanted_percent = 100;          ///< The share of its speed it may work at.
+  int wanted_percent = kFullSpeed;   ///< The share of its speed it may work at.
   std::optional<Instant> halted_at;  ///< Since when it may not work at all.
   bool pace_waits = false;           ///< It has not been sent yet.
   Instant paced_at;                  ///< When its pace was changed last.
@@ -110,6 +110,8 @@
   /// Something waits to be sent.
   bool has_orders = false;
 
+  /// Has the next orders stop the run; `run` is one of `runs`.
+  void OrderStop(HostedRun& run);
   /// @returns the capacity less what runs, or may run, here. Best-effort work
   /// does not count against the processors.
   Resources Free() const;
--- a/packages/scheduling/host_pacing.cc
+++ b/packages/scheduling/host_pacing.cc
@@ -8,8 +8,6 @@
 namespace zinniacart {
 namespace {
 
-constexpr int kFullSpeed = 100;
-
 double WorstHarm(const BestEffortPace& task) {
   const auto worst =
       std::max_element(task.harm_per_core.begin(), task.harm_per_core.end());
--- a/packages/scheduling/host_pacing.h
+++ b/packages/scheduling/host_pacing.h
@@ -8,6 +8,9 @@
 
 namespace zinniacart {
 
+/// The pace of work that is not slowed, in percent.
+inline constexpr int kFullSpeed = 100;
+
 /// A serving task as last measured. Margins are the target divided by the tail
 /// latency: 1 is just at the target, more is better.
 struct ServingMeasure {
@@ -19,7 +22,7 @@
 /// A best-effort task and the share of its speed that it was told to work at.
 struct BestEffortPace {
   TaskRun id;
-  int percent = 100;
+  int percent = kFullSpeed;
   double cores = 0;  ///< What it uses at full speed.
   /// It began or changed its pace so lately that the measures do not show it.
   bool unsteady = false;
@@ -66,6 +69,8 @@
                                      std::vector<BestEffortPace> paced,
                                      Instant now);
 
+  /// @returns the margin that paces are planned for.
+  double planned_margin() const { return m_settings.planned_margin; }
   /// @returns the smallest margin, as of the last decision; nothing where no
   /// serving task is measured.
   std::optional<double> least_margin() const { return m_least_margin; }
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -107,9 +107,7 @@
       DropRun(host, id, {}, false, "cancelled before its start");
       return;
     }
-    run.stopping = true;
-    run.delivered_to = {};
-    host.has_orders = true;
+    host.OrderStop(run);
   });
 }
 
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -62,9 +62,7 @@
                         const TaskKey& key,
                         Host& host,
                         HostedRun& run) {
-  run.stopping = true;
-  run.delivered_to = {};
-  host.has_orders = true;
+  host.OrderStop(run);
   Task& task = *job.Find(key);
   if (!job.active() || !job.spec().steps[key.step].speculative) {
     task.phase = TaskPhase::kStopping;
@@ -84,9 +82,7 @@
   }
   const auto run = host->second.runs.find(newest);
   if (run != host->second.runs.end()) {
-    run->second.stopping = true;
-    run->second.delivered_to = {};
-    host->second.has_orders = true;
+    host->second.OrderStop(run->second);
   }
 }
 
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -11,7 +11,6 @@
 constexpr double kPriorityWeight = 1e9;
 /// Perpetual tasks come after those that end, which leave their room again.
 constexpr double kPerpetualUrgency = 1e8;
-constexpr int kFullSpeed = 100;
 /// Slower work would tell too little of what it disturbs.
 constexpr int kLeastFirstPace = 25;
 
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -112,9 +112,7 @@
   }
   // A start that is on its way may be carried out by the new life.
   run.incarnation = host.incarnation;
-  run.stopping = true;
-  run.delivered_to = {};
-  host.has_orders = true;
+  host.OrderStop(run);
   m_log({"run stopped", id, host.id(), "its start may reach the next life"});
 }
 
