Register entries and agents by one class

EntryNode::Register and AgentNode::Register were twins, with their two constants; Registration serves both, and neither node keeps the store for itself any more. Behaviour is the same; the process tests pass unchanged.

--- a/packages/site/agent_node.cc
+++ b/packages/site/agent_node.cc
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr Duration kTick{100};
-constexpr Duration kRegisterTimeout{800};
-constexpr Duration kRegisterRetry{300};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -27,13 +25,16 @@
                      AgentSiteSettings settings,
                      const Clock& clock)
     : m_loop(loop),
-      m_store(store),
       m_worker(worker),
       m_settings(std::move(settings)),
       m_clock(clock),
       m_supervisor(Incarnation(DrawRunNumber()), m_settings.supervisor, clock),
       m_tick(loop),
-      m_register_retry(loop) {}
+      m_registration(
+          loop,
+          store,
+          store_keys::Host(m_settings.host),
+          m_settings.ip + ":" + std::to_string(m_settings.peer_port)) {}
 
 Result<void> AgentNode::Start() {
   m_peer_server = std::make_unique<net::HttpServer>(
@@ -46,25 +47,11 @@
   if (!listening) {
     return tl::unexpected(listening.error());
   }
-  Register();
+  m_registration.Start();
   Tick();
   return {};
 }
 
-void AgentNode::Register() {
-  StoreTransaction transaction;
-  transaction.writes = {
-      StoreWrite{store_keys::Host(m_settings.host),
-                 m_settings.ip + ":" + std::to_string(m_settings.peer_port),
-                 {}}};
-  m_store.Commit(
-      transaction, kRegisterTimeout, [this](Result<StoreCommit> commit) {
-        if (!commit) {
-          m_register_retry.After(kRegisterRetry, [this] { Register(); });
-        }
-      });
-}
-
 void AgentNode::OnAnnouncement(const WorkerFacts& facts,
                                std::uint64_t sequence) {
   m_supervisor.OnAnnouncement(facts, sequence);
--- a/packages/site/agent_node.h
+++ b/packages/site/agent_node.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "hosting/host_supervisor.h"
 #include "net/http_server.h"
+#include "site/registration.h"
 #include "site/store_port.h"
 #include "site/timer.h"
 #include "site/worker_port.h"
@@ -45,7 +46,6 @@
     Instant until;
   };
 
-  void Register();
   void HandlePeer(net::Request request, net::Responder respond);
   void Pump();
   void Run(const HoldCall& call);
@@ -56,7 +56,6 @@
   void Tick();
 
   boost::asio::io_context& m_loop;
-  StorePort& m_store;
   WorkerPort& m_worker;
   const AgentSiteSettings m_settings;
   const Clock& m_clock;
@@ -65,7 +64,7 @@
   std::list<Waiting> m_waiting;
   std::uint64_t m_news_told = 0;
   Timer m_tick;
-  Timer m_register_retry;
+  Registration m_registration;
   bool m_pumping = false;
   bool m_worker_answers = true;
 };
--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -10,8 +10,6 @@
 namespace zinniacart {
 namespace {
 
-constexpr Duration kRegisterTimeout{800};
-constexpr Duration kRegisterRetry{300};
 /// Bounds a request that another entry relays; that entry waits a bit less.
 constexpr Duration kRelayedRequest{600};
 
@@ -52,11 +50,13 @@
                      EntrySiteSettings settings,
                      const Clock& clock)
     : m_loop(loop),
-      m_store(store),
       m_settings(std::move(settings)),
       m_clock(clock),
       m_peers(loop),
-      m_register_retry(loop) {
+      m_registration(loop,
+                     store,
+                     store_keys::Entry(m_settings.entry),
+                     m_settings.owner.address) {
   m_owner =
       std::make_unique<Owner>(loop, store, m_peers, m_settings.owner, clock);
   m_intake = std::make_unique<JobIntake>(loop, store, m_peers, m_directory,
@@ -86,22 +86,10 @@
   }
   m_entries->Start();
   m_owner->Start();
-  Register();
+  m_registration.Start();
   return {};
 }
 
-void EntryNode::Register() {
-  StoreTransaction transaction;
-  transaction.writes = {StoreWrite{
-      store_keys::Entry(m_settings.entry), m_settings.owner.address, {}}};
-  m_store.Commit(
-      transaction, kRegisterTimeout, [this](Result<StoreCommit> commit) {
-        if (!commit) {
-          m_register_retry.After(kRegisterRetry, [this] { Register(); });
-        }
-      });
-}
-
 void EntryNode::OnConfiguration(SiteConfiguration configuration) {
   if (m_configuration && configuration.version <= m_configuration->version) {
     return;
--- a/packages/site/entry_node.h
+++ b/packages/site/entry_node.h
@@ -15,6 +15,7 @@
 #include "site/owner.h"
 #include "site/peer_clients.h"
 #include "site/prefix_follower.h"
+#include "site/registration.h"
 
 namespace zinniacart {
 
@@ -50,13 +51,11 @@
   const Owner& owner() const { return *m_owner; }
 
  private:
-  void Register();
   void HandlePeer(net::Request request, net::Responder respond);
   void HandleStoreRequest(const net::Request& request, net::Responder respond);
   void HandleQuestion(const net::Request& request, net::Responder respond);
 
   boost::asio::io_context& m_loop;
-  StorePort& m_store;
   const EntrySiteSettings m_settings;
   const Clock& m_clock;
   PeerClients m_peers;
@@ -66,7 +65,7 @@
   std::unique_ptr<PrefixFollower> m_entries;
   std::unique_ptr<net::HttpServer> m_peer_server;
   std::optional<SiteConfiguration> m_configuration;
-  Timer m_register_retry;
+  Registration m_registration;
 };
 
 }  // namespace zinniacart
