--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -66,7 +66,7 @@
 }
 
 bool SimulatedWorker::Fenced(Epoch token) {
-  if (token < m_fence && !m_faults.ignores_fences) {
+  if (token < m_fence) {
     return true;
   }
   m_fence = std::max(m_fence, token);
--- a/packages/hosting/simulation/simulated_worker.h
+++ b/packages/hosting/simulation/simulated_worker.h
@@ -13,7 +13,6 @@
 /// What a worker may do wrong.
 struct WorkerFaults {
   bool ignores_leases = false;
-  bool ignores_fences = false;
   bool ignores_deadlines = false;  ///< Of starts that are carried out late.
   double failing_share = 0.03;     ///< Runs that end failed.
 };
