Sum hosts up once a round, and leave the owner's loop time

Change: PlacementIndex sums up the usable hosts once a round and asks for each pair of images once; halted work is moved with the tick instead of with every report; checkpoints are written after what starts wait for; a round is followed by three times its own length for everything else. The test of halted work lets the clock tick, as the owner does; what it asserts is unchanged.

--- a/packages/scheduling/consolidation.cc
+++ b/packages/scheduling/consolidation.cc
@@ -29,9 +29,9 @@
     const Task& task = tasks[index];
     TaskRun id{of, task.run};
     id.task.index = index;
-    const auto host = view.placement.hosts.find(task.placement.host);
+    const auto host = view.hosts.find(task.placement.host);
     if (task.phase != TaskPhase::kPlaced ||
-        host == view.placement.hosts.end()) {
+        host == view.hosts.end()) {
       return false;
     }
     const auto run = host->second.runs.find(id);
@@ -66,12 +66,11 @@
 }
 
 /// @returns the hosts with serving tasks, the one with the least first.
-std::vector<const Host*> ServingHosts(const PlacementView& view) {
+std::vector<const Host*> ServingHosts(const PlacementIndex& index) {
   std::vector<const Host*> hosts;
-  for (const auto& [id, host] : view.hosts) {
-    if (host.Serves() && host.Usable(view.now) &&
-        !view.evacuated.contains(host.facts->domain)) {
-      hosts.push_back(&host);
+  for (const HostRoom& room : index.rooms()) {
+    if (!room.serving.empty()) {
+      hosts.push_back(room.host);
     }
   }
   std::stable_sort(
--- a/packages/scheduling/consolidation.h
+++ b/packages/scheduling/consolidation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <map>
+#include <memory>
 #include <optional>
 
 #include "scheduling/placement.h"
@@ -15,7 +17,8 @@
 
 /// What consolidation may look at besides hosts.
 struct ConsolidationView {
-  const PlacementView& placement;
+  const PlacementIndex& placement;
+  const std::map<HostId, Host>& hosts;
   const std::map<JobId, std::unique_ptr<Job>>& jobs;
 };
 
--- a/packages/scheduling/host.cc
+++ b/packages/scheduling/host.cc
@@ -10,10 +10,6 @@
 constexpr double kServingIdleShare = 0.4;
 /// Assumed of a serving task that has not been measured yet.
 constexpr double kUnmeasuredMargin = 2.0;
-/// Less margin than this counts as this much, where something is divided by
-/// it.
-constexpr double kLeastRoom = 0.05;
-
 }  // namespace
 
 void Host::OrderStop(HostedRun& run) {
@@ -67,19 +63,23 @@
     if (!run.serves) {
       continue;
     }
-    const double room = run.expected_margin.value_or(kUnmeasuredMargin) -
-                        pacing.planned_margin();
+    const double room = SpareMargin(run);
     double loss = 0;
     for (const auto& [working_image, working_cores] : working) {
       const HarmBelief harm = model.Of(run.image, working_image, now);
       loss += working_cores *
               (belief == Belief::kLikely ? harm.per_core : harm.Cautious());
     }
-    worst = std::max(worst, loss / std::max(room, kLeastRoom));
+    worst = std::max(worst, loss / std::max(room, kLeastSpareMargin));
   }
   return worst;
 }
 
+double Host::SpareMargin(const HostedRun& run) const {
+  return run.expected_margin.value_or(kUnmeasuredMargin) -
+         pacing.planned_margin();
+}
+
 std::uint32_t Host::CountOf(const JobId& job,
                             std::uint32_t occurrence,
                             std::uint32_t step) const {
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -53,6 +53,10 @@
   std::optional<double> margin() const;
 };
 
+/// Less spare margin than this counts as this much, where something is divided
+/// by it.
+constexpr double kLeastSpareMargin = 0.05;
+
 /// Which of the possible disturbances is reckoned with.
 enum class Belief { kLikely, kCautious };
 
@@ -125,6 +129,9 @@
                          double cores,
                          Instant now,
                          Belief belief = Belief::kLikely) const;
+  /// @returns the margin that a serving run has above the planned one, as far
+  /// as it is expected without best-effort work.
+  double SpareMargin(const HostedRun& run) const;
   /// @returns whether a task with a latency target is here.
   bool Serves() const;
   /// @returns how many tasks of the step run, or may run, here.
--- a/packages/scheduling/interference_model.cc
+++ b/packages/scheduling/interference_model.cc
@@ -92,6 +92,7 @@
 HarmBelief InterferenceModel::Of(const std::string& serving_image,
                                  const std::string& best_effort_image,
                                  Instant now) const {
+  ++m_lookups;
   const auto found = m_beliefs.find({serving_image, best_effort_image});
   if (found == m_beliefs.end()) {
     return HarmBelief{m_settings.unknown_per_core,
--- a/packages/scheduling/interference_model.h
+++ b/packages/scheduling/interference_model.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -87,6 +88,9 @@
                 const std::string& best_effort_image,
                 Instant now) const;
 
+  /// @returns how often `Of` was asked: what a round of placement costs.
+  std::uint64_t lookups() const { return m_lookups; }
+
  private:
   using Pair = std::pair<std::string, std::string>;
   struct PairBelief {
@@ -110,6 +114,7 @@
 
   InterferenceSettings m_settings;
   std::map<Pair, PairBelief> m_beliefs;
+  mutable std::uint64_t m_lookups = 0;
 };
 
 }  // namespace zinniacart
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -31,54 +31,67 @@
 /// take at most this share of the margin that they have to spare.
 constexpr double kMostPressure = 0.9;
 
-bool Allowed(const PlacementView& view,
-             const PlacementRequest& request,
-             const Host& host) {
+/// What one decision knows of a best-effort task beforehand.
+struct BestEffortOutlook {
+  std::vector<HarmBelief> harm;  ///< By serving image.
+  bool harmless = true;          ///< It would disturb no serving task anywhere.
+};
+
+BestEffortOutlook OutlookOf(const PlacementIndex& index, const StepSpec& step) {
+  BestEffortOutlook outlook;
+  if (!step.best_effort) {
+    return outlook;
+  }
+  outlook.harm = index.HarmOf(step.image);
+  outlook.harmless = std::all_of(
+      outlook.harm.begin(), outlook.harm.end(), [&](const HarmBelief& harm) {
+        return step.demand.cores() * harm.Cautious() <= kNoDisturbance;
+      });
+  return outlook;
+}
+
+bool Allowed(const PlacementRequest& request, const HostRoom& room) {
   const StepSpec& step = request.step;
-  return host.Usable(view.now) &&
-         host.facts->service == request.job.policy().service &&
-         !view.evacuated.contains(host.facts->domain) &&
+  const Host& host = *room.host;
+  return host.facts->service == request.job.policy().service &&
          (request.rack.empty() || host.facts->rack == request.rack) &&
          (request.beside_serving_of == HostId() ||
-          (host.Serves() && host.id() != request.beside_serving_of)) &&
+          (!room.serving.empty() && host.id() != request.beside_serving_of)) &&
          (step.required_label.empty() || host.HasLabel(step.required_label));
 }
 
-/// @returns whether the task would disturb no serving task anywhere.
-bool Harmless(const PlacementView& view, const PlacementRequest& request) {
-  const double cores = request.step.demand.cores();
-  for (const auto& [id, host] : view.hosts) {
-    for (const auto& [run_id, run] : host.runs) {
-      if (run.serves &&
-          cores * view.interference.Of(run.image, request.step.image, view.now)
-                      .Cautious() >
-              kNoDisturbance) {
-        return false;
-      }
-    }
+/// @returns the share of their spare margin that the serving tasks of the host
+/// would lose, at the worst, if `cores` more of best-effort work were there.
+double PressureAt(const HostRoom& room,
+                  const BestEffortOutlook& outlook,
+                  double cores) {
+  double worst = 0;
+  for (const ServingRoom& serving : room.serving) {
+    const double loss =
+        serving.taken + cores * outlook.harm[serving.image].per_core;
+    worst = std::max(worst, loss / std::max(serving.spare, kLeastSpareMargin));
   }
-  return true;
+  return worst;
 }
 
 /// @returns the cost of best-effort work on the host, nothing where it would
 /// crawl or disturb too much.
-std::optional<double> BestEffortCost(const PlacementView& view,
-                                     const PlacementRequest& request,
-                                     const Host& host,
+std::optional<double> BestEffortCost(const PlacementRequest& request,
+                                     const BestEffortOutlook& outlook,
+                                     const HostRoom& room,
                                      const Resources& taken) {
   const auto demand = static_cast<double>(request.step.demand.millicores);
   const auto idle =
-      static_cast<double>(host.IdleMillicores() - taken.millicores);
+      static_cast<double>(room.idle_millicores - taken.millicores);
   const double pressure =
-      host.PredictPressure(view.interference, request.step.image,
-                           request.step.demand.cores(), view.now);
+      PressureAt(room, outlook, request.step.demand.cores());
   const bool good =
       idle >= kLeastBestEffortShare * demand && pressure <= kMostPressure;
   if (!good && !request.anywhere) {
     return std::nullopt;
   }
   double cost = kPressureCost * pressure - idle;
-  if (!host.Serves() && Harmless(view, request)) {
+  if (room.serving.empty() && outlook.harmless) {
     cost += kWasteQuietHostCost;
   }
   return cost;
@@ -97,22 +110,23 @@
 }
 
 /// @returns the cost of the host for the task, nothing where it does not fit.
-std::optional<double> CostAt(const PlacementView& view,
-                             const PlacementRequest& request,
-                             const Host& host,
+std::optional<double> CostAt(const PlacementRequest& request,
+                             const BestEffortOutlook& outlook,
+                             const HostRoom& room,
                              const Resources& taken) {
   const StepSpec& step = request.step;
+  const Host& host = *room.host;
   Resources demand = step.demand;
   if (step.best_effort) {
     demand.millicores = 0;
   }
-  const Resources free = host.Free() - taken;
+  const Resources free = room.free - taken;
   if (!demand.FitsIn(free)) {
     return std::nullopt;
   }
   double cost = 0;
   if (step.best_effort) {
-    const auto best_effort = BestEffortCost(view, request, host, taken);
+    const auto best_effort = BestEffortCost(request, outlook, room, taken);
     if (!best_effort) {
       return std::nullopt;
     }
@@ -134,7 +148,7 @@
   return cost;
 }
 
-std::optional<std::vector<HostId>> FitGang(const PlacementView& view,
+std::optional<std::vector<HostId>> FitGang(const PlacementIndex& index,
                                            const Job& job,
                                            std::uint32_t occurrence,
                                            std::uint32_t step,
@@ -144,12 +158,12 @@
   RoomTaken taken;
   std::map<HostId, std::uint32_t> count;
   std::vector<HostId> chosen;
-  for (std::uint32_t index = 0; index < tasks.tasks.size(); ++index) {
+  for (std::uint32_t number = 0; number < tasks.tasks.size(); ++number) {
     const PlacementRequest request{
-        job,      TaskKey{job.id(), occurrence, step, index},
-        declared, tasks.tasks[index],
+        job,      TaskKey{job.id(), occurrence, step, number},
+        declared, tasks.tasks[number],
         false,    rack};
-    const auto host = ChooseHost(view, request, taken);
+    const auto host = ChooseHost(index, request, taken);
     if (!host) {
       return std::nullopt;
     }
@@ -162,11 +176,11 @@
   return chosen;
 }
 
-std::set<std::string> RacksOf(const PlacementView& view) {
+std::set<std::string> RacksOf(const PlacementIndex& index) {
   std::set<std::string> racks;
-  for (const auto& [id, host] : view.hosts) {
-    if (host.facts && !host.facts->rack.empty()) {
-      racks.insert(host.facts->rack);
+  for (const HostRoom& room : index.rooms()) {
+    if (!room.host->facts->rack.empty()) {
+      racks.insert(room.host->facts->rack);
     }
   }
   return racks;
@@ -174,44 +188,47 @@
 
 }  // namespace
 
-std::optional<HostId> ChooseHost(const PlacementView& view,
+std::optional<HostId> ChooseHost(const PlacementIndex& index,
                                  const PlacementRequest& request,
                                  const RoomTaken& taken) {
-  std::optional<HostId> best;
+  const BestEffortOutlook outlook = OutlookOf(index, request.step);
+  const std::uint32_t most = request.step.most_per_host;
+  const HostRoom* best = nullptr;
   double best_cost = 0;
-  for (const auto& [id, host] : view.hosts) {
-    if (!Allowed(view, request, host)) {
-      continue;
-    }
-    const std::uint32_t most = request.step.most_per_host;
-    if (most > 0 && host.CountOf(request.key.job, request.key.occurrence,
-                                 request.key.step) >= most) {
+  for (const HostRoom& room : index.rooms()) {
+    if (!Allowed(request, room)) {
       continue;
     }
-    const auto promised = taken.find(id);
+    const auto promised = taken.find(room.host->id());
     const auto cost =
-        CostAt(view, request, host,
+        CostAt(request, outlook, room,
                promised == taken.end() ? Resources{} : promised->second);
-    if (cost && (!best || *cost < best_cost)) {
-      best = id;
-      best_cost = *cost;
+    if (!cost || (best != nullptr && *cost >= best_cost)) {
+      continue;
+    }
+    if (most > 0 &&
+        room.host->CountOf(request.key.job, request.key.occurrence,
+                           request.key.step) >= most) {
+      continue;
     }
+    best = &room;
+    best_cost = *cost;
   }
-  return best;
+  return best == nullptr ? std::nullopt : std::optional(best->host->id());
 }
 
-std::optional<std::vector<HostId>> ChooseGangHosts(const PlacementView& view,
+std::optional<std::vector<HostId>> ChooseGangHosts(const PlacementIndex& index,
                                                    const Job& job,
                                                    std::uint32_t occurrence,
                                                    std::uint32_t step) {
   if (job.spec().steps[step].same_rack) {
-    for (const std::string& rack : RacksOf(view)) {
-      if (auto hosts = FitGang(view, job, occurrence, step, rack)) {
+    for (const std::string& rack : RacksOf(index)) {
+      if (auto hosts = FitGang(index, job, occurrence, step, rack)) {
         return hosts;
       }
     }
   }
-  return FitGang(view, job, occurrence, step, {});
+  return FitGang(index, job, occurrence, step, {});
 }
 
 }  // namespace zinniacart
--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -1,26 +1,17 @@
 #pragma once
 
 #include <map>
-#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "base/ids.h"
 #include "scheduling/host.h"
 #include "scheduling/job.h"
+#include "scheduling/placement_index.h"
 
 namespace zinniacart {
 
-/// What a placement decision may look at.
-struct PlacementView {
-  const std::map<HostId, Host>& hosts;
-  const std::set<DomainId>& evacuated;
-  const InterferenceModel& interference;
-  Instant now;
-};
-
 /// One task that needs a host.
 struct PlacementRequest {
   const Job& job;
@@ -44,13 +35,13 @@
 /// are idle and no task with a latency target is disturbed.
 /// @param taken room promised to other members of a gang.
 /// @returns the host, nothing where none fits now.
-std::optional<HostId> ChooseHost(const PlacementView& view,
+std::optional<HostId> ChooseHost(const PlacementIndex& index,
                                  const PlacementRequest& request,
                                  const RoomTaken& taken = {});
 
 /// Chooses hosts for all tasks of a gang at once.
 /// @returns one host a task in index order, nothing where they do not all fit.
-std::optional<std::vector<HostId>> ChooseGangHosts(const PlacementView& view,
+std::optional<std::vector<HostId>> ChooseGangHosts(const PlacementIndex& index,
                                                    const Job& job,
                                                    std::uint32_t occurrence,
                                                    std::uint32_t step);
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -18,8 +18,8 @@
   m_began = m_clock.Now();
   m_jobs.clear();
   m_hosts.clear();
-  m_dirty.clear();
-  m_dirty_set.clear();
+  m_dirty = {};
+  m_lightly_dirty = {};
   m_ended.clear();
   m_serving.clear();
 }
@@ -138,6 +138,7 @@
     }
   }
   CopyRunsOfSilentHosts();
+  MoveHalted();
   if (now - m_checkpoints_saved_at > m_settings.save_checkpoints_every) {
     m_checkpoints_saved_at = now;
     SaveCheckpoints();
@@ -205,7 +206,7 @@
       const Task& task = *job->Find(id.task);
       if (task.run == id.run && task.checkpoint != run.latest.checkpoint) {
         job->SaveCheckpoint(id.task, run.latest.checkpoint);
-        Touched(*job);
+        TouchedLightly(*job);
       }
     }
   }
@@ -220,14 +221,20 @@
 
 std::vector<ProgressWrite> Scheduler::TakeWrites(std::size_t most) {
   std::vector<ProgressWrite> writes;
-  while (!m_dirty.empty() && writes.size() < most) {
-    const JobId id = m_dirty.front();
-    m_dirty.pop_front();
-    m_dirty_set.erase(id);
-    Job* job = FindJob(id);
-    if (job != nullptr && job->dirty()) {
-      writes.push_back(ProgressWrite{id, job->EncodeProgress(), job->version(),
-                                     job->revision()});
+  for (JobQueue* queue : {&m_dirty, &m_lightly_dirty}) {
+    while (writes.size() < most) {
+      const auto id = queue->TakeFirst();
+      if (!id) {
+        break;
+      }
+      const Job* job = FindJob(*id);
+      const bool taken =
+          std::any_of(writes.begin(), writes.end(),
+                      [&](const auto& write) { return write.job == *id; });
+      if (job != nullptr && job->dirty() && !taken) {
+        writes.push_back(ProgressWrite{*id, job->EncodeProgress(),
+                                       job->version(), job->revision()});
+      }
     }
   }
   return writes;
@@ -387,9 +394,27 @@
 }
 
 void Scheduler::Touched(Job& job) {
-  if (m_dirty_set.insert(job.id()).second) {
-    m_dirty.push_back(job.id());
+  m_dirty.Add(job.id());
+}
+
+void Scheduler::TouchedLightly(Job& job) {
+  m_lightly_dirty.Add(job.id());
+}
+
+void Scheduler::JobQueue::Add(const JobId& job) {
+  if (members.insert(job).second) {
+    order.push_back(job);
+  }
+}
+
+std::optional<JobId> Scheduler::JobQueue::TakeFirst() {
+  if (order.empty()) {
+    return std::nullopt;
   }
+  JobId job = std::move(order.front());
+  order.pop_front();
+  members.erase(job);
+  return job;
 }
 
 Job* Scheduler::FindJob(const JobId& id) {
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -98,6 +98,7 @@
 
   const std::map<JobId, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
   const std::map<HostId, Host>& hosts() const { return m_hosts; }
+  const InterferenceModel& interference() const { return m_interference; }
   Epoch epoch() const { return m_epoch; }
 
  private:
@@ -108,6 +109,15 @@
     double urgency;  ///< Smaller comes first.
   };
 
+  /// Jobs in the order of their first mention, each once.
+  struct JobQueue {
+    std::deque<JobId> order;
+    std::set<JobId> members;
+
+    void Add(const JobId& job);
+    std::optional<JobId> TakeFirst();
+  };
+
   // Reports.
   void AdoptAgent(Host& host, const HostReport& report);
   void AdoptIncarnation(Host& host, const HostReport& report);
@@ -140,11 +150,14 @@
   std::vector<double> HarmOf(
       const HostedRun& run,
       const std::vector<std::string>& serving_images) const;
-  void MoveHalted(Host& host);
+  void MoveHalted();
+  void MoveHaltedOf(Host& host, PlacementIndex& index);
   void Consolidate();
-  PlacementView View() const;
+  PlacementIndex MakeIndex() const;
   void ObserveHeadroom();
-  bool LeavesHeadroom(const Job& job, const StepSpec& step) const;
+  bool LeavesHeadroom(const PlacementIndex& index,
+                      const Job& job,
+                      const StepSpec& step) const;
   void SaveCheckpoints();
   void UpdateHealth(Host& host);
   void LeaveSickHost(Host& host);
@@ -159,14 +172,17 @@
   void CollectReadySteps(Job& job, std::vector<ReadyStep>& ready);
   double UrgencyOf(const Job& job, std::uint32_t step) const;
   bool Due(const Job& job, std::uint32_t occurrence) const;
-  void PlaceStep(const ReadyStep& ready);
-  void PlaceGang(const ReadyStep& ready);
+  void PlaceStep(const ReadyStep& ready, PlacementIndex& index);
+  void PlaceGang(const ReadyStep& ready, PlacementIndex& index);
   void PlaceTask(Job& job, const TaskKey& key, Host& host);
   static HostedRun MakeRun(const StepSpec& step);
 
   // Jobs.
   void StopTasksOf(Job& job);
+  /// The job's progress is to be written.
   void Touched(Job& job);
+  /// As `Touched`, after what starts and ends wait for.
+  void TouchedLightly(Job& job);
   void ReleaseOrders(Job& job);
   Job* FindJob(const JobId& id);
 
@@ -188,8 +204,9 @@
   Instant m_consolidated_at;
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<HostId, Host> m_hosts;
-  std::deque<JobId> m_dirty;
-  std::set<JobId> m_dirty_set;
+  JobQueue m_dirty;
+  /// Jobs of which only checkpoints are to be written.
+  JobQueue m_lightly_dirty;
   std::deque<std::pair<Instant, JobId>> m_ended;
 };
 
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -88,7 +88,6 @@
        host.pacing.Decide(serving, std::move(paced), now)) {
     SetPace(host, change);
   }
-  MoveHalted(host);
 }
 
 void Scheduler::SetPace(Host& host, const BestEffortPace& change) {
@@ -142,7 +141,27 @@
   return harm;
 }
 
-void Scheduler::MoveHalted(Host& host) {
+void Scheduler::MoveHalted() {
+  std::optional<PlacementIndex> index;
+  for (auto& [id, host] : m_hosts) {
+    const bool halted =
+        std::any_of(host.runs.begin(), host.runs.end(), [&](const auto& entry) {
+          const HostedRun& run = entry.second;
+          return run.halted_at && !run.stopping &&
+                 m_clock.Now() - *run.halted_at >=
+                     m_settings.move_halted_after;
+        });
+    if (!halted) {
+      continue;
+    }
+    if (!index) {
+      index.emplace(MakeIndex());
+    }
+    MoveHaltedOf(host, *index);
+  }
+}
+
+void Scheduler::MoveHaltedOf(Host& host, PlacementIndex& index) {
   const Instant now = m_clock.Now();
   for (auto& [id, run] : host.runs) {
     Job* job = FindJob(id.task.job);
@@ -157,12 +176,13 @@
       continue;
     }
     const auto better =
-        ChooseHost(View(), PlacementRequest{*job, id.task, step, *task, false});
+        ChooseHost(index, PlacementRequest{*job, id.task, step, *task, false});
     if (!better || *better == host.id()) {
       continue;
     }
     m_log({"run moved", id, host.id(), "halted; room at " + better->value()});
     StopRun(*job, id.task, host, run);
+    index.Refresh(host);
   }
 }
 
@@ -178,8 +198,9 @@
   if (!best_effort) {
     return;
   }
-  const PlacementView view = View();
-  const auto move = ChooseServingMove(ConsolidationView{view, m_jobs});
+  const PlacementIndex index = MakeIndex();
+  const auto move =
+      ChooseServingMove(ConsolidationView{index, m_hosts, m_jobs});
   if (!move) {
     return;
   }
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -18,11 +18,16 @@
 
 void Scheduler::Place() {
   ObserveHeadroom();
-  for (const ReadyStep& ready : ReadySteps()) {
+  const auto ready_steps = ReadySteps();
+  if (ready_steps.empty()) {
+    return;
+  }
+  PlacementIndex index = MakeIndex();
+  for (const ReadyStep& ready : ready_steps) {
     if (ready.job->spec().steps[ready.step].gang) {
-      PlaceGang(ready);
+      PlaceGang(ready, index);
     } else {
-      PlaceStep(ready);
+      PlaceStep(ready, index);
     }
   }
 }
@@ -108,17 +113,16 @@
   }
 }
 
-bool Scheduler::LeavesHeadroom(const Job& job, const StepSpec& step) const {
+bool Scheduler::LeavesHeadroom(const PlacementIndex& index,
+                               const Job& job,
+                               const StepSpec& step) const {
   std::int64_t free = 0;
   std::int64_t fitting = 0;
-  const Instant now = m_clock.Now();
-  for (const auto& [id, host] : m_hosts) {
-    if (host.Usable(now) && host.facts->service == job.policy().service &&
-        !m_evacuated.contains(host.facts->domain)) {
-      const Resources room = host.Free();
-      free += std::max<std::int64_t>(0, room.millicores);
-      fitting += step.demand.FitsIn(room) && step.demand.millicores > 0
-                     ? room.millicores / step.demand.millicores
+  for (const HostRoom& room : index.rooms()) {
+    if (room.host->facts->service == job.policy().service) {
+      free += std::max<std::int64_t>(0, room.free.millicores);
+      fitting += step.demand.FitsIn(room.free) && step.demand.millicores > 0
+                     ? room.free.millicores / step.demand.millicores
                      : 0;
     }
   }
@@ -132,41 +136,42 @@
   return free - step.demand.millicores >= reserve;
 }
 
-PlacementView Scheduler::View() const {
-  return PlacementView{m_hosts, m_evacuated, m_interference, m_clock.Now()};
+PlacementIndex Scheduler::MakeIndex() const {
+  return PlacementIndex(m_hosts, m_evacuated, m_interference, m_clock.Now());
 }
 
-void Scheduler::PlaceStep(const ReadyStep& ready) {
+void Scheduler::PlaceStep(const ReadyStep& ready, PlacementIndex& index) {
   Job& job = *ready.job;
   const StepSpec& step = job.spec().steps[ready.step];
   StepTasks& tasks = job.At(ready.occurrence, ready.step);
-  const PlacementView view = View();
   bool idle = std::none_of(tasks.tasks.begin(), tasks.tasks.end(),
                            [](const Task& task) { return task.placed(); });
-  for (std::uint32_t index = 0; index < tasks.tasks.size(); ++index) {
-    Task& task = tasks.tasks[index];
+  for (std::uint32_t number = 0; number < tasks.tasks.size(); ++number) {
+    Task& task = tasks.tasks[number];
     if (task.phase != TaskPhase::kPending) {
       continue;
     }
     // A task that was moved has had its room already.
     if (step.perpetual && task.wanted_host == HostId() &&
-        !LeavesHeadroom(job, step)) {
+        !LeavesHeadroom(index, job, step)) {
       return;
     }
-    const TaskKey key{job.id(), ready.occurrence, ready.step, index};
+    const TaskKey key{job.id(), ready.occurrence, ready.step, number};
     const bool anywhere =
         idle && m_clock.Now() - job.accepted() > m_settings.longest_idle;
     const auto host =
-        ChooseHost(view, PlacementRequest{job, key, step, task, anywhere});
+        ChooseHost(index, PlacementRequest{job, key, step, task, anywhere});
     if (!host) {
       return;
     }
-    PlaceTask(job, key, m_hosts.at(*host));
+    Host& chosen = m_hosts.at(*host);
+    PlaceTask(job, key, chosen);
+    index.Refresh(chosen);
     idle = false;
   }
 }
 
-void Scheduler::PlaceGang(const ReadyStep& ready) {
+void Scheduler::PlaceGang(const ReadyStep& ready, PlacementIndex& index) {
   Job& job = *ready.job;
   const StepTasks& tasks = job.At(ready.occurrence, ready.step);
   const bool all_pending = std::all_of(
@@ -175,14 +180,15 @@
   if (!all_pending) {
     return;
   }
-  const PlacementView view = View();
-  const auto hosts = ChooseGangHosts(view, job, ready.occurrence, ready.step);
+  const auto hosts = ChooseGangHosts(index, job, ready.occurrence, ready.step);
   if (!hosts) {
     return;
   }
-  for (std::uint32_t index = 0; index < hosts->size(); ++index) {
-    PlaceTask(job, TaskKey{job.id(), ready.occurrence, ready.step, index},
-              m_hosts.at((*hosts)[index]));
+  for (std::uint32_t number = 0; number < hosts->size(); ++number) {
+    Host& host = m_hosts.at((*hosts)[number]);
+    PlaceTask(job, TaskKey{job.id(), ready.occurrence, ready.step, number},
+              host);
+    index.Refresh(host);
   }
 }
 
--- a/packages/scheduling/tests/interference_model_test.cc
+++ b/packages/scheduling/tests/interference_model_test.cc
@@ -229,6 +229,8 @@
   // Its users alone bring the serving task close to its target now.
   for (int sample = 0; sample < 6; ++sample) {
     Measure("a", 95, 0);
+    harness.Report("b");
+    harness.scheduler().OnTick();
   }
   CHECK(harness.Orders("a").stops.at(0) == MakeRun(batch, 0, 1));
   harness.End("a", MakeRun(batch, 0, 1), EndKind::kStopped, "half");
--- /dev/null
+++ b/packages/scheduling/tests/large_site_test.cc
@@ -0,0 +1,79 @@
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "scheduling/tests/scheduler_harness.h"
+
+using namespace zinniacart;
+
+/// Load: serving tasks on every host of a large site, and more best-effort
+/// work than may run beside them.
+TEST_GROUP(LargeSite) {
+  static constexpr int kHosts = 160;
+  static constexpr std::uint64_t kServingImages = 16;
+  static constexpr std::uint64_t kBatchImages = 30;
+
+  SchedulerHarness harness;
+
+  static std::string HostName(int number) {
+    return "host" + std::to_string(number);
+  }
+
+  void AddServingHosts() {
+    for (int number = 0; number < kHosts; ++number) {
+      harness.AddHost(HostName(number), 16);
+    }
+    for (std::uint64_t number = 0; number < 2 * kServingImages; ++number) {
+      StepSpec step = MakeStep(20, 3200);
+      step.perpetual = true;
+      step.latency_target = Duration(50);
+      step.image = "serving" + std::to_string(number % kServingImages);
+      harness.AddJob("serving-job" + std::to_string(number), step);
+    }
+    harness.RunRound();
+  }
+
+  void AddBatch() {
+    for (std::uint64_t number = 0; number < 2 * kBatchImages; ++number) {
+      StepSpec step = MakeStep(40, 1800);
+      step.best_effort = true;
+      step.checkpoints = true;
+      step.image = "batch" + std::to_string(number % kBatchImages);
+      harness.AddJob("batch-job" + std::to_string(number), step);
+    }
+  }
+};
+
+TEST(LargeSite, ARoundAsksForEachPairOfImagesOnce) {
+  AddServingHosts();
+  AddBatch();
+  harness.RunRound();
+  const std::uint64_t before = harness.scheduler().interference().lookups();
+  harness.scheduler().Place();
+  const std::uint64_t asked =
+      harness.scheduler().interference().lookups() - before;
+  CHECK(asked > 0);
+  CHECK(asked <= kServingImages * kBatchImages);
+}
+
+TEST(LargeSite, AStartDoesNotWaitForCheckpointsToBeStored) {
+  harness.AddHost("host", 64);
+  for (int number = 0; number < 20; ++number) {
+    StepSpec step = MakeStep(1, 1000);
+    step.checkpoints = true;
+    harness.AddJob("long" + std::to_string(number), step);
+  }
+  harness.RunRound();
+  for (RunningTask& task : harness.report("host").running) {
+    task.checkpoint = CheckpointId("some work");
+  }
+  harness.clock().Advance(SchedulerSettings().save_checkpoints_every +
+                          Duration(1));
+  harness.Report("host");
+  harness.scheduler().OnTick();
+  const JobId urgent = harness.AddJob("urgent", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  const auto writes = harness.scheduler().TakeWrites(2);
+  LONGS_EQUAL(2, writes.size());
+  CHECK(writes.at(0).job == urgent);
+}
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -100,6 +100,7 @@
   std::optional<StoreSnapshot> m_progress;
   Timer m_tick;
   Timer m_round;
+  Duration m_round_took{0};
   Timer m_write_retry;
   bool m_loaded = false;
   bool m_writing = false;
--- a/packages/site/owner_rounds.cc
+++ b/packages/site/owner_rounds.cc
@@ -11,6 +11,9 @@
 
 /// Events of this span are decided on and written together.
 constexpr Duration kRoundPause{6};
+/// So many times as long as a round took, the loop is left to what callers and
+/// hosts send meanwhile.
+constexpr int kPausePerRound = 3;
 /// Each write takes a condition and a value; one more condition guards the
 /// epoch. The store takes 32 entries in a transaction.
 constexpr std::size_t kMostWrites = 15;
@@ -21,7 +24,8 @@
 
 void Owner::Kick() {
   if (!m_round.armed()) {
-    m_round.After(kRoundPause, [this] { RunRound(); });
+    m_round.After(std::max(kRoundPause, m_round_took * kPausePerRound),
+                  [this] { RunRound(); });
   }
 }
 
@@ -29,9 +33,11 @@
   if (!m_loaded) {
     return;
   }
+  const Instant began = m_clock.Now();
   m_scheduler.Place();
   WriteProgress();
   PushOrders();
+  m_round_took = m_clock.Now() - began;
 }
 
 void Owner::WriteProgress() {
