--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -16,6 +16,7 @@
   m_epoch = epoch;
   m_owner = std::move(owner);
   m_began = m_clock.Now();
+  m_asking_since.reset();
   m_jobs.clear();
   m_hosts.clear();
   m_dirty = {};
@@ -117,6 +118,7 @@
 
 void Scheduler::OnTick() {
   const Instant now = m_clock.Now();
+  m_asking_since = m_asking_since.value_or(now);
   for (auto& [id, host] : m_hosts) {
     if (host.reachable && now - host.heard_at > m_settings.silence) {
       host.reachable = false;
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -192,6 +192,8 @@
   Epoch m_epoch;
   EntryId m_owner;
   Instant m_began;
+  /// Since when hosts are asked: loading comes before.
+  std::optional<Instant> m_asking_since;
   SiteConfiguration m_configuration;
   std::set<DomainId> m_evacuated;
   InterferenceModel m_interference;
--- a/packages/scheduling/tests/large_site_test.cc
+++ b/packages/scheduling/tests/large_site_test.cc
@@ -77,3 +77,25 @@
   LONGS_EQUAL(2, writes.size());
   CHECK(writes.at(0).job == urgent);
 }
+
+TEST(LargeSite, HostsThatATakeoverHasNotAskedYetAreNotTakenForSilent) {
+  harness.AddHost("host", 16);
+  harness.AddHost("other", 16);
+  StepSpec step = MakeStep(1, 1000);
+  step.speculative = true;
+  const JobId job = harness.AddJob("job", step);
+  harness.RunRound();
+  harness.TakeOver(2);
+  // Loading took this long.
+  harness.clock().Advance(2 * SchedulerSettings().silence);
+  harness.Report("other");
+  harness.scheduler().OnTick();
+  harness.scheduler().Place();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+  // A host that stays silent after that is another matter.
+  harness.clock().Advance(SchedulerSettings().silence + Duration(1));
+  harness.Report("other");
+  harness.scheduler().OnTick();
+  harness.scheduler().Place();
+  LONGS_EQUAL(2, harness.HostsOf(job).size());
+}
