Let the scheduling be owned by entries that can carry it

Ruled out: the store and the links were well; the large entries were back at once but nothing asked the owner to go. Change: entries register how many processors they have. A loss of ownership is logged once, not once a link.

--- a/packages/scheduling/ownership.h
+++ b/packages/scheduling/ownership.h
@@ -66,6 +66,8 @@
   /// @returns what to do now; `WaitStep` while a step is under way.
   OwnershipStep Next();
 
+  /// @param delay how long this entry leaves a vacancy to better placed ones.
+  void SetStandbyDelay(Duration delay) { m_standby_delay = delay; }
   /// The store's view was seen by a watch.
   void OnView(const OwnershipView& view);
   /// The store's view was read, as asked for.
@@ -92,7 +94,7 @@
 
   const EntryId m_self;
   const OwnershipTimes m_times;
-  const Duration m_standby_delay;
+  Duration m_standby_delay;
   const Clock& m_clock;
   OwnershipView m_view;
   bool m_view_known = false;
--- /dev/null
+++ b/packages/scheduling/tests/succession_test.cc
@@ -0,0 +1,87 @@
+#include "scheduling/succession.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace zinniacart;
+
+TEST_GROUP(Succession) {
+  ManualClock clock;
+  SuccessionSettings settings;
+  const std::map<EntryId, EntryRecord> entries{
+      {EntryId("large"), EntryRecord{"1.1.1.1:1", 0.5}},
+      {EntryId("other-large"), EntryRecord{"1.1.1.2:1", 0.5}},
+      {EntryId("small"), EntryRecord{"1.1.1.3:1", 0.07}}};
+
+  Succession Make(const std::string& self, double cores) {
+    return Succession(EntryId(self), cores, clock);
+  }
+};
+
+TEST(Succession, ASmallEntryLeavesAVacancyToLargerOnesUntilTheyCanBeThere) {
+  Succession small = Make("small", 0.07);
+  Succession large = Make("large", 0.5);
+  small.OnView(entries, std::nullopt);
+  large.OnView(entries, std::nullopt);
+  CHECK(large.StandbyDelay() < settings.longest_standby);
+  CHECK(small.StandbyDelay() >= settings.leave_to_stronger);
+}
+
+TEST(Succession, AmongEqualsNobodyWaitsLong) {
+  Succession small = Make("small", 0.07);
+  small.OnView({{EntryId("small"), EntryRecord{"1.1.1.3:1", 0.07}},
+                {EntryId("twin"), EntryRecord{"1.1.1.4:1", 0.07}}},
+               std::nullopt);
+  CHECK(small.StandbyDelay() <= settings.longest_standby);
+}
+
+TEST(Succession, AnEntryOfUnknownStrengthIsNotWaitedFor) {
+  Succession small = Make("small", 0.07);
+  small.OnView({{EntryId("older"), EntryRecord{"1.1.1.4:1", 0}}}, std::nullopt);
+  CHECK(small.StandbyDelay() <= settings.longest_standby);
+}
+
+TEST(Succession, ALargerEntryAsksAnOwnerThatStaysSmallToHandOver) {
+  Succession large = Make("large", 0.5);
+  large.OnStoreHealth(true);
+  large.OnView(entries, EntryId("small"));
+  CHECK_FALSE(large.ShouldOffer());
+  clock.Advance(settings.offer_after);
+  CHECK(large.ShouldOffer());
+  // Not with every look.
+  CHECK_FALSE(large.ShouldOffer());
+  clock.Advance(settings.offer_after);
+  CHECK(large.ShouldOffer());
+}
+
+TEST(Succession, AnEntryThatTheStoreTurnsAwayAsksForNothing) {
+  Succession large = Make("large", 0.5);
+  large.OnStoreHealth(true);
+  large.OnView(entries, EntryId("small"));
+  CHECK_FALSE(large.ShouldOffer());
+  large.OnStoreHealth(false);
+  clock.Advance(settings.offer_after);
+  CHECK_FALSE(large.ShouldOffer());
+  // The time counts anew from when it answers again.
+  large.OnStoreHealth(true);
+  CHECK_FALSE(large.ShouldOffer());
+  clock.Advance(settings.offer_after);
+  CHECK(large.ShouldOffer());
+}
+
+TEST(Succession, ALargeOwnerIsLeftAlone) {
+  Succession large = Make("large", 0.5);
+  large.OnStoreHealth(true);
+  large.OnView(entries, EntryId("other-large"));
+  clock.Advance(10 * settings.offer_after);
+  CHECK_FALSE(large.ShouldOffer());
+  clock.Advance(10 * settings.offer_after);
+  CHECK_FALSE(large.ShouldOffer());
+}
+
+TEST(Succession, OnlyAClearlyStrongerEntryIsYieldedTo) {
+  Succession small = Make("small", 0.07);
+  small.OnView(entries, EntryId("small"));
+  CHECK(small.ShouldYieldTo(EntryId("large")));
+  CHECK_FALSE(small.ShouldYieldTo(EntryId("small")));
+  CHECK_FALSE(small.ShouldYieldTo(EntryId("stranger")));
+}
--- a/packages/site/entry_directory.cc
+++ b/packages/site/entry_directory.cc
@@ -8,6 +8,20 @@
 
 namespace zinniacart {
 
+std::string EncodeEntryRecord(const EntryRecord& record) {
+  return nlohmann::json{{"address", record.address}, {"cores", record.cores}}
+      .dump();
+}
+
+Result<EntryRecord> DecodeEntryRecord(const std::string& bytes) {
+  try {
+    const auto row = nlohmann::json::parse(bytes);
+    return EntryRecord{row.at("address"), row.at("cores")};
+  } catch (const nlohmann::json::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument, error.what(), "entry record");
+  }
+}
+
 std::string EncodeOwnerRecord(const OwnerRecord& record) {
   return nlohmann::json{{"entry", record.entry.value()},
                         {"address", record.address},
@@ -66,16 +80,22 @@
     m_ownership.last_epoch = Epoch(epoch);
     m_ownership.epoch_revision = item.revision;
   } else if (item.key.starts_with(store_keys::kEntryPrefix)) {
-    m_entries[EntryId(item.key.substr(store_keys::kEntryPrefix.size()))] =
-        item.value;
+    const EntryId entry(item.key.substr(store_keys::kEntryPrefix.size()));
+    const auto record = DecodeEntryRecord(item.value);
+    if (!record) {
+      LogError("entry record cannot be read",
+               {{"entry", entry.value()}, {"detail", record.error().detail}});
+      return;
+    }
+    m_entries[entry] = *record;
   }
 }
 
 std::vector<std::string> EntryDirectory::PeersOf(const EntryId& self) const {
   std::vector<std::string> addresses;
-  for (const auto& [entry, address] : m_entries) {
+  for (const auto& [entry, record] : m_entries) {
     if (entry != self) {
-      addresses.push_back(address);
+      addresses.push_back(record.address);
     }
   }
   return addresses;
--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -13,6 +13,10 @@
 /// Bounds a request that another entry relays; that entry waits a bit less.
 constexpr Duration kRelayedRequest{600};
 
+/// Between two looks at whether this entry should own the scheduling.
+constexpr Duration kConsiderOffer{500};
+constexpr Duration kOfferTimeout{700};
+
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
@@ -53,10 +57,13 @@
       m_settings(std::move(settings)),
       m_clock(clock),
       m_peers(loop),
+      m_succession(m_settings.entry, m_settings.owner.cores, clock),
+      m_offer(loop),
       m_registration(loop,
                      store,
                      store_keys::Entry(m_settings.entry),
-                     m_settings.owner.address) {
+                     EncodeEntryRecord(EntryRecord{m_settings.owner.address,
+                                                   m_settings.owner.cores})) {
   m_owner =
       std::make_unique<Owner>(loop, store, m_peers, m_settings.owner, clock);
   m_intake = std::make_unique<JobIntake>(loop, store, m_peers, m_directory,
@@ -65,12 +72,13 @@
       loop, store, store_keys::kEntriesPrefix,
       [this](const StoreSnapshot& snapshot) {
         m_directory.OnSnapshot(snapshot);
-        m_owner->OnOwnershipView(m_directory.ownership());
+        OnDirectoryChanged();
       },
       [this](const StoreEvent& event) {
         m_directory.OnEvent(event);
-        m_owner->OnOwnershipView(m_directory.ownership());
-      });
+        OnDirectoryChanged();
+      },
+      [this](bool answering) { m_succession.OnStoreHealth(answering); });
 }
 
 Result<void> EntryNode::Start() {
@@ -87,9 +95,42 @@
   m_entries->Start();
   m_owner->Start();
   m_registration.Start();
+  ConsiderOffer();
   return {};
 }
 
+void EntryNode::OnDirectoryChanged() {
+  const auto& owner = m_directory.owner();
+  m_succession.OnView(m_directory.entries(),
+                      owner ? std::optional(owner->entry) : std::nullopt);
+  m_owner->SetStandbyDelay(m_succession.StandbyDelay());
+  m_owner->OnOwnershipView(m_directory.ownership());
+}
+
+void EntryNode::ConsiderOffer() {
+  m_offer.After(kConsiderOffer, [this] { ConsiderOffer(); });
+  const auto& owner = m_directory.owner();
+  if (!owner || !m_succession.ShouldOffer()) {
+    return;
+  }
+  LogInfo("asking the owner to hand over", {{"owner", owner->entry.value()}});
+  m_peers.Post(owner->address,
+               peer_paths::kHandOver + m_settings.entry.value(), {},
+               kOfferTimeout, [](const Result<net::Response>& response) {
+                 if (!response) {
+                   LogInfo("owner was not asked",
+                           {{"reason", response.error().detail}});
+                 }
+               });
+}
+
+void EntryNode::HandOver(const EntryId& to, net::Responder respond) {
+  if (m_succession.ShouldYieldTo(to)) {
+    m_owner->HandOver(to);
+  }
+  respond(net::Response{kOk, {}, {}});
+}
+
 void EntryNode::OnConfiguration(SiteConfiguration configuration) {
   if (m_configuration && configuration.version <= m_configuration->version) {
     return;
@@ -104,6 +145,7 @@
 }
 
 void EntryNode::Retire(std::function<void()> done) {
+  m_offer.Cancel();
   m_owner->Retire(std::move(done));
 }
 
@@ -144,6 +186,9 @@
     }
     return respond(net::Response{kOk, {}, {}});
   }
+  if (const auto entry = After(request, peer_paths::kHandOver)) {
+    return HandOver(EntryId(*entry), std::move(respond));
+  }
   if (const auto id = After(request, peer_paths::kJobState)) {
     const auto state = m_owner->StateOf(JobId(*id), QueueId(request.body));
     return respond(state ? net::Response{kOk, ToString(*state), {}}
--- a/packages/site/entry_node.h
+++ b/packages/site/entry_node.h
@@ -10,12 +10,14 @@
 #include "base/clock.h"
 #include "jobs/queue.h"
 #include "net/http_server.h"
+#include "scheduling/succession.h"
 #include "site/entry_directory.h"
 #include "site/job_intake.h"
 #include "site/owner.h"
 #include "site/peer_clients.h"
 #include "site/prefix_follower.h"
 #include "site/registration.h"
+#include "site/timer.h"
 
 namespace zinniacart {
 
@@ -53,6 +55,9 @@
  private:
   void HandlePeer(net::Request request, net::Responder respond);
   void HandleStoreRequest(const net::Request& request, net::Responder respond);
+  void OnDirectoryChanged();
+  void HandOver(const EntryId& to, net::Responder respond);
+  void ConsiderOffer();
   void HandleQuestion(const net::Request& request, net::Responder respond);
 
   boost::asio::io_context& m_loop;
@@ -60,6 +65,8 @@
   const Clock& m_clock;
   PeerClients m_peers;
   EntryDirectory m_directory;
+  Succession m_succession;
+  Timer m_offer;
   std::unique_ptr<Owner> m_owner;
   std::unique_ptr<JobIntake> m_intake;
   std::unique_ptr<PrefixFollower> m_entries;
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -53,7 +53,7 @@
       m_clock(clock),
       m_ownership(m_settings.self,
                   m_settings.ownership,
-                  m_settings.standby_delay,
+                  Duration(0),
                   clock),
       m_scheduler(m_settings.scheduler, clock, LogDecisions()),
       m_tick(loop),
@@ -87,6 +87,20 @@
                    [done](const Result<Duration>&) { done(); });
 }
 
+void Owner::HandOver(const EntryId& to) {
+  if (!m_ownership.owner()) {
+    return;
+  }
+  const LeaseId lease = m_ownership.lease();
+  LogInfo("handing over", {{"to", to.value()}});
+  Lose("a stronger entry takes over");
+  m_store.EndLease(lease, kStoreTimeout, [](const Result<Duration>& ended) {
+    if (!ended) {
+      LogInfo("lease runs out by itself", {{"reason", ended.error().detail}});
+    }
+  });
+}
+
 void Owner::OnOwnershipView(const OwnershipView& view) {
   const bool replaced =
       m_ownership.owner() && view.last_epoch > m_ownership.epoch();
@@ -179,6 +193,9 @@
 }
 
 void Owner::Lose(const char* reason) {
+  if (!m_ownership.owner()) {
+    return;
+  }
   LogInfo("ownership lost",
           {{"epoch", m_ownership.epoch().value()}, {"reason", reason}});
   m_ownership.OnLost();
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -21,7 +21,7 @@
 struct OwnerSettings {
   EntryId self;
   std::string address;  ///< Where the other entries reach this one.
-  Duration standby_delay{0};
+  double cores = 0;  ///< Processors that this entry may use.
   OwnershipTimes ownership;
   SchedulerSettings scheduler;
 };
@@ -40,6 +40,10 @@
   /// Hands the ownership over: gives the lease back.
   void Retire(std::function<void()> done);
 
+  /// Gives the ownership up to a better placed entry, but stays ready.
+  void HandOver(const EntryId& to);
+
+  void SetStandbyDelay(Duration delay) { m_ownership.SetStandbyDelay(delay); }
   void OnOwnershipView(const OwnershipView& view);
   void OnConfiguration(const SiteConfiguration& configuration);
   void OnEvacuated(const std::set<DomainId>& domains);
--- a/packages/site/peer_paths.h
+++ b/packages/site/peer_paths.h
@@ -10,6 +10,8 @@
 /// Entry to owner: a job was stored, a job was cancelled.
 inline const std::string kJobStored = "/owner/job-stored/";
 inline const std::string kJobCancelled = "/owner/job-cancelled/";
+/// Entry to owner: hand over to me, I can carry more.
+inline const std::string kHandOver = "/owner/hand-over/";
 /// Entry to owner: what callers ask.
 inline const std::string kJobState = "/owner/job-state/";
 inline const std::string kWaitingJobs = "/owner/waiting-jobs";
--- a/packages/site/registration.cc
+++ b/packages/site/registration.cc
@@ -14,15 +14,15 @@
 Registration::Registration(boost::asio::io_context& loop,
                            StorePort& store,
                            std::string key,
-                           std::string address)
+                           std::string record)
     : m_store(store),
       m_key(std::move(key)),
-      m_address(std::move(address)),
+      m_record(std::move(record)),
       m_retry(loop) {}
 
 void Registration::Start() {
   StoreTransaction transaction;
-  transaction.writes = {StoreWrite{m_key, m_address, {}}};
+  transaction.writes = {StoreWrite{m_key, m_record, {}}};
   m_store.Commit(transaction, kTimeout, [this](Result<StoreCommit> commit) {
     if (!commit) {
       m_retry.After(kRetry, [this] { Start(); });
--- a/packages/site/registration.h
+++ b/packages/site/registration.h
@@ -13,18 +13,18 @@
 class Registration final {
  public:
   /// @param key     where it is stored.
-  /// @param address where this process is reached.
+  /// @param record  what is stored: where this process is reached.
   Registration(boost::asio::io_context& loop,
                StorePort& store,
                std::string key,
-               std::string address);
+               std::string record);
 
   void Start();
 
  private:
   StorePort& m_store;
   const std::string m_key;
-  const std::string m_address;
+  const std::string m_record;
   Timer m_retry;
 };
 
