Judge a host by what its tasks' siblings show elsewhere

Cause: hosts were judged sick because declared run times are off by many times. Ruled out: late reports (the speeds at the verdict were 0.02 to 0.45, with progress on every task). Change: a task is compared with the tasks of its step on other hosts; where none has shown a speed, the tasks of one step count as one sample.

--- a/packages/jobs/task_key.h
+++ b/packages/jobs/task_key.h
@@ -22,6 +22,8 @@
 
   auto operator<=>(const TaskKey&) const = default;
 
+  /// @returns the first task of the same step; names the step.
+  TaskKey First() const { return TaskKey{job, occurrence, step, 0}; }
   /// @returns "JOB.OCCURRENCE.STEP.INDEX".
   std::string ToString() const;
   /// @returns the task that `text` names, nothing where it names none.
--- a/packages/scheduling/consolidation.cc
+++ b/packages/scheduling/consolidation.cc
@@ -30,8 +30,7 @@
     TaskRun id{of, task.run};
     id.task.index = index;
     const auto host = view.hosts.find(task.placement.host);
-    if (task.phase != TaskPhase::kPlaced ||
-        host == view.hosts.end()) {
+    if (task.phase != TaskPhase::kPlaced || host == view.hosts.end()) {
       return false;
     }
     const auto run = host->second.runs.find(id);
--- a/packages/scheduling/host_health.cc
+++ b/packages/scheduling/host_health.cc
@@ -27,13 +27,21 @@
   m_running.clear();
 }
 
+std::optional<double> HostHealth::SpeedShown(Duration estimate,
+                                             Duration elapsed,
+                                             double progress) const {
+  if (estimate.count() <= 0 || elapsed < m_settings.least_elapsed ||
+      elapsed < estimate / 2) {
+    return std::nullopt;
+  }
+  return SpeedOf(estimate, elapsed, progress);
+}
+
 void HostHealth::OnRunning(Duration estimate,
                            Duration elapsed,
                            double progress) {
-  // A task that is early in its time has not shown its speed yet.
-  if (estimate.count() > 0 && elapsed >= m_settings.least_elapsed &&
-      elapsed >= estimate / 2) {
-    m_running.push_back(SpeedOf(estimate, elapsed, progress));
+  if (const auto speed = SpeedShown(estimate, elapsed, progress)) {
+    m_running.push_back(*speed);
   }
 }
 
--- a/packages/scheduling/host_health.h
+++ b/packages/scheduling/host_health.h
@@ -32,6 +32,11 @@
   /// A task finished in `elapsed`.
   void OnFinished(Duration estimate, Duration elapsed, Instant now);
 
+  /// @returns the speed that a running task shows, nothing while it is too
+  /// early in its time.
+  std::optional<double> SpeedShown(Duration estimate,
+                                   Duration elapsed,
+                                   double progress) const;
   /// Begins a new look at the tasks that run.
   void BeginLook();
   /// @param progress from 0 to 1.
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -206,9 +206,8 @@
     if (!cost || (best != nullptr && *cost >= best_cost)) {
       continue;
     }
-    if (most > 0 &&
-        room.host->CountOf(request.key.job, request.key.occurrence,
-                           request.key.step) >= most) {
+    if (most > 0 && room.host->CountOf(request.key.job, request.key.occurrence,
+                                       request.key.step) >= most) {
       continue;
     }
     best = &room;
--- a/packages/scheduling/placement_index.cc
+++ b/packages/scheduling/placement_index.cc
@@ -18,18 +18,17 @@
 }
 
 void PlacementIndex::Refresh(const Host& host) {
-  const auto room = std::lower_bound(
-      m_rooms.begin(), m_rooms.end(), host.id(),
-      [](const HostRoom& left, const HostId& id) {
-        return left.host->id() < id;
-      });
+  const auto room =
+      std::lower_bound(m_rooms.begin(), m_rooms.end(), host.id(),
+                       [](const HostRoom& left, const HostId& id) {
+                         return left.host->id() < id;
+                       });
   if (room != m_rooms.end() && room->host == &host) {
     SumUp(*room);
   }
 }
 
-std::vector<HarmBelief> PlacementIndex::HarmOf(
-    const std::string& image) const {
+std::vector<HarmBelief> PlacementIndex::HarmOf(const std::string& image) const {
   std::vector<HarmBelief> harm;
   for (std::size_t index = 0; index < m_serving_images.size(); ++index) {
     harm.push_back(Harm(index, image));
@@ -70,8 +69,8 @@
 }
 
 std::size_t PlacementIndex::IndexOf(const std::string& serving_image) {
-  const auto known = std::find(m_serving_images.begin(),
-                               m_serving_images.end(), serving_image);
+  const auto known = std::find(m_serving_images.begin(), m_serving_images.end(),
+                               serving_image);
   if (known != m_serving_images.end()) {
     return static_cast<std::size_t>(known - m_serving_images.begin());
   }
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -23,6 +23,7 @@
   m_lightly_dirty = {};
   m_ended.clear();
   m_serving.clear();
+  m_siblings.Clear();
 }
 
 void Scheduler::SetConfiguration(SiteConfiguration configuration) {
@@ -159,6 +160,7 @@
     std::erase_if(m_serving, [&ended](const auto& entry) {
       return entry.first.job == ended;
     });
+    m_siblings.Forget(ended);
     m_jobs.erase(ended);
     m_ended.pop_front();
   }
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -23,6 +23,7 @@
 #include "scheduling/run_time_model.h"
 #include "scheduling/scheduler_settings.h"
 #include "scheduling/serving_load.h"
+#include "scheduling/sibling_speeds.h"
 
 namespace zinniacart {
 
@@ -160,6 +161,8 @@
                       const StepSpec& step) const;
   void SaveCheckpoints();
   void UpdateHealth(Host& host);
+  bool LookAtRunning(Host& host);
+  void NoteFinished(Host& host, const HostedRun& run);
   void LeaveSickHost(Host& host);
   void StopRun(Job& job, const TaskKey& key, Host& host, HostedRun& run);
   void CopyRunsOfSilentHosts();
@@ -198,6 +201,7 @@
   std::set<DomainId> m_evacuated;
   InterferenceModel m_interference;
   RunTimeModel m_run_times;
+  SiblingSpeeds m_siblings;
   /// By step, named by its first task.
   std::map<TaskKey, ServingLoad> m_serving;
   std::map<ServiceId, Headroom> m_headroom;
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 #include <vector>
 
 #include "scheduling/scheduler.h"
@@ -14,17 +15,72 @@
   return run.started && !run.best_effort && !run.perpetual && !run.stopping;
 }
 
+/// @returns the part of the run's work that is done, from 0 to 1.
+double ProgressOf(const HostedRun& run) {
+  return run.latest.progress_percent / kPercent;
+}
+
+/// @returns the run time that tasks have which get on at `speed` times what was
+/// estimated.
+Duration TimeAtSpeed(Duration estimate, double speed) {
+  constexpr double kLeastSpeed = 0.01;
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(estimate.count()) / std::max(speed, kLeastSpeed)));
+}
+
 }  // namespace
 
-void Scheduler::UpdateHealth(Host& host) {
+/// @returns whether other hosts have shown how fast the tasks should be.
+bool Scheduler::LookAtRunning(Host& host) {
   const Instant now = m_clock.Now();
-  host.health.BeginLook();
+  // Tasks of one step share the error of its estimate: where no other host
+  // shows that error, only the best of them tells something.
+  std::map<TaskKey, const HostedRun*> alone;
+  bool compared = false;
   for (const auto& [id, run] : host.runs) {
-    if (TellsSpeed(run)) {
-      host.health.OnRunning(run.estimate, now - run.started_at,
-                            run.latest.progress_percent / kPercent);
+    if (!TellsSpeed(run)) {
+      continue;
+    }
+    const TaskKey step = id.task.First();
+    const Duration elapsed = now - run.started_at;
+    if (const auto shown =
+            host.health.SpeedShown(run.estimate, elapsed, ProgressOf(run))) {
+      m_siblings.Observe(step, host.id(), *shown);
+    }
+    if (const auto usual = m_siblings.UsualElsewhere(step, host.id())) {
+      compared = true;
+      host.health.OnRunning(TimeAtSpeed(run.estimate, *usual), elapsed,
+                            ProgressOf(run));
+      continue;
+    }
+    const HostedRun*& best = alone[step];
+    if (best == nullptr || ProgressOf(run) > ProgressOf(*best)) {
+      best = &run;
     }
   }
+  for (const auto& [step, run] : alone) {
+    host.health.OnRunning(run->estimate, now - run->started_at,
+                          ProgressOf(*run));
+  }
+  return compared;
+}
+
+void Scheduler::NoteFinished(Host& host, const HostedRun& run) {
+  const Instant now = m_clock.Now();
+  const Duration elapsed = now - run.started_at;
+  const TaskKey step = run.order.id.task.First();
+  if (const auto shown = host.health.SpeedShown(run.estimate, elapsed, 1.0)) {
+    m_siblings.Observe(step, host.id(), *shown);
+  }
+  if (const auto usual = m_siblings.UsualElsewhere(step, host.id())) {
+    host.health.OnFinished(TimeAtSpeed(run.estimate, *usual), elapsed, now);
+  }
+}
+
+void Scheduler::UpdateHealth(Host& host) {
+  const Instant now = m_clock.Now();
+  host.health.BeginLook();
+  const bool compared = LookAtRunning(host);
   std::vector<double> others;
   for (const auto& [id, other] : m_hosts) {
     if (other.health.speed() && &other != &host) {
@@ -32,7 +88,11 @@
     }
   }
   const bool was_sick = host.health.sick();
-  host.health.EndLook(MedianSpeed(std::move(others)), now);
+  auto usual = MedianSpeed(std::move(others));
+  if (!usual && compared) {
+    usual = 1.0;
+  }
+  host.health.EndLook(usual, now);
   if (host.health.sick() != was_sick) {
     m_log({host.health.sick() ? "host judged sick" : "host tried again",
            {},
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -14,12 +14,6 @@
   return Resources{run.latest.measure, 0, 0}.cores();
 }
 
-/// @returns the step of a task, as the task of index 0.
-TaskKey StepOf(TaskKey task) {
-  task.index = 0;
-  return task;
-}
-
 /// Measures cover half a second and are listed twice a second: until then they
 /// may not show a change.
 constexpr Duration kShownAfter{800};
@@ -71,7 +65,7 @@
   std::vector<std::string> images;
   for (const auto& [id, run] : host.runs) {
     if (run.started && run.serves && run.margin()) {
-      const double undisturbed = m_serving.at(StepOf(id.task)).margin();
+      const double undisturbed = m_serving.at(id.task.First()).margin();
       serving.push_back(
           ServingMeasure{*run.margin(), undisturbed, *run.expected_margin});
       images.push_back(run.image);
@@ -115,7 +109,7 @@
     if (!run.started || !run.serves || !margin) {
       continue;
     }
-    const TaskKey step = StepOf(id.task);
+    const TaskKey step = id.task.First();
     auto load = m_serving.find(step);
     if (load == m_serving.end()) {
       load = m_serving
@@ -148,8 +142,7 @@
         std::any_of(host.runs.begin(), host.runs.end(), [&](const auto& entry) {
           const HostedRun& run = entry.second;
           return run.halted_at && !run.stopping &&
-                 m_clock.Now() - *run.halted_at >=
-                     m_settings.move_halted_after;
+                 m_clock.Now() - *run.halted_at >= m_settings.move_halted_after;
         });
     if (!halted) {
       continue;
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -136,8 +136,7 @@
   }
   const HostedRun& run = found->second;
   if (ended.how == EndKind::kDone && run.started && !run.best_effort) {
-    const Instant now = m_clock.Now();
-    host.health.OnFinished(run.estimate, now - run.started_at, now);
+    NoteFinished(host, run);
   }
   m_log({"run ended", ended.id, host.id(), ToString(ended.how)});
   Job* job = FindJob(ended.id.task.job);
--- /dev/null
+++ b/packages/scheduling/sibling_speeds.cc
@@ -0,0 +1,39 @@
+#include "scheduling/sibling_speeds.h"
+
+#include <utility>
+#include <vector>
+
+#include "scheduling/host_health.h"
+
+namespace zinniacart {
+void SiblingSpeeds::Observe(const TaskKey& step,
+                            const HostId& host,
+                            double speed) {
+  m_speeds[step][host] = speed;
+}
+
+std::optional<double> SiblingSpeeds::UsualElsewhere(const TaskKey& step,
+                                                    const HostId& host) const {
+  const auto found = m_speeds.find(step);
+  if (found == m_speeds.end()) {
+    return std::nullopt;
+  }
+  std::vector<double> elsewhere;
+  for (const auto& [other, speed] : found->second) {
+    if (other != host) {
+      elsewhere.push_back(speed);
+    }
+  }
+  return MedianSpeed(std::move(elsewhere));
+}
+
+void SiblingSpeeds::Forget(const JobId& job) {
+  const auto begin = m_speeds.lower_bound(TaskKey{job, 0, 0, 0});
+  auto end = begin;
+  while (end != m_speeds.end() && end->first.job == job) {
+    ++end;
+  }
+  m_speeds.erase(begin, end);
+}
+
+}  // namespace zinniacart
--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -114,14 +114,13 @@
     return;
   }
   LogInfo("asking the owner to hand over", {{"owner", owner->entry.value()}});
-  m_peers.Post(owner->address,
-               peer_paths::kHandOver + m_settings.entry.value(), {},
-               kOfferTimeout, [](const Result<net::Response>& response) {
-                 if (!response) {
-                   LogInfo("owner was not asked",
-                           {{"reason", response.error().detail}});
-                 }
-               });
+  m_peers.Post(
+      owner->address, peer_paths::kHandOver + m_settings.entry.value(), {},
+      kOfferTimeout, [](const Result<net::Response>& response) {
+        if (!response) {
+          LogInfo("owner was not asked", {{"reason", response.error().detail}});
+        }
+      });
 }
 
 void EntryNode::HandOver(const EntryId& to, net::Responder respond) {
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -21,7 +21,7 @@
 struct OwnerSettings {
   EntryId self;
   std::string address;  ///< Where the other entries reach this one.
-  double cores = 0;  ///< Processors that this entry may use.
+  double cores = 0;     ///< Processors that this entry may use.
   OwnershipTimes ownership;
   SchedulerSettings scheduler;
 };
--- a/packages/site/store_port.h
+++ b/packages/site/store_port.h
@@ -32,7 +32,8 @@
 struct StoreEvents {
   std::vector<StoreEvent> events;
   std::uint64_t as_of = 0;
-  Duration received_in{0};  ///< How long they took to come in, once one was there.
+  Duration received_in{
+      0};  ///< How long they took to come in, once one was there.
 };
 
 struct StoreCondition {
