Ask for the stop of an orphan once a list

Cause: the agent of a worker that is gone repeats the worker's last list. Ruled out: runs that were really there (the workers were gone; the leases had lapsed 4.5 s before). Change: a list makes orphans once; a worker that lives sends a new one every 0.4 s.

--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -85,6 +85,7 @@
   std::map<TaskRun, HostedRun> runs;
   /// Runs that nobody wants; they get a stop until they are gone.
   std::set<TaskRun> orphans;
+  std::uint64_t orphans_from_list = 0;  ///< The list that they were taken from.
 
   /// Ends by number, with what must be written before they are forgotten.
   struct PendingEnd {
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -69,6 +69,7 @@
   const Instant now = m_clock.Now();
   if (report.agent != host.agent) {
     host.agent = report.agent;
+    host.orphans_from_list = 0;
     host.has_orders = true;
   }
   host.sequence = report.sequence;
@@ -243,12 +244,17 @@
 }
 
 void Scheduler::HandleRunning(Host& host, const HostReport& report) {
+  // An agent whose worker is gone repeats the worker's last list.
+  const bool news = host.orphans_from_list != report.list_number;
+  host.orphans_from_list = report.list_number;
   for (const RunningTask& running : report.running) {
     const auto found = host.runs.find(running.id);
     if (found == host.runs.end()) {
-      host.orphans.insert(running.id);
-      host.has_orders = true;
-      m_log({"orphan run", running.id, host.id(), "nobody placed it here"});
+      if (news) {
+        host.orphans.insert(running.id);
+        host.has_orders = true;
+        m_log({"orphan run", running.id, host.id(), "nobody placed it here"});
+      }
       continue;
     }
     HostedRun& run = found->second;
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -262,6 +262,21 @@
   CHECK(orders.stops[0] == orphan);
 }
 
+// Load: hosts whose worker is gone. Their agents can only repeat what the worker
+// said last; asking them to stop it again and again would keep the owner busy.
+TEST(Scheduler, AnOrphanIsStoppedAgainOnlyWhenANewListStillShowsIt) {
+  harness.AddHost("a", 4);
+  const TaskRun orphan = MakeRun(JobId("unknown"), 0, 1);
+  harness.report("a").running.push_back(RunningTask{orphan, {}, 0, 0});
+  harness.Report("a");
+  LONGS_EQUAL(1, harness.Orders("a").stops.size());
+  --harness.report("a").list_number;
+  harness.Report("a");
+  LONGS_EQUAL(0, harness.Orders("a").stops.size());
+  harness.Report("a");
+  LONGS_EQUAL(1, harness.Orders("a").stops.size());
+}
+
 TEST(Scheduler, ATakeoverKeepsWhatRunsAndReplacesWhatNeverStarted) {
   harness.AddHost("a", 4);
   const JobId running = harness.AddJob("running", MakeStep(1, 1000));
