--- /dev/null
+++ b/packages/scheduling/benchmark/placement_bench.cc
@@ -0,0 +1,78 @@
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "scheduling/tests/scheduler_harness.h"
+
+namespace zinniacart {
+namespace {
+
+constexpr int kHosts = 160;
+constexpr int kRounds = 50;
+
+StepSpec MakeImageStep(std::uint32_t count,
+                       Resources demand,
+                       const std::string& image) {
+  StepSpec step = MakeStep(count, demand.millicores);
+  step.demand = demand;
+  step.image = image;
+  return step;
+}
+
+/// Fills a site with serving tasks, best-effort work for more than it can take,
+/// and short jobs.
+void AddLoad(SchedulerHarness& harness) {
+  for (int number = 0; number < kHosts; ++number) {
+    harness.AddHost("host" + std::to_string(number), number % 3 == 2 ? 24 : 16);
+  }
+  for (int number = 0; number < 31; ++number) {
+    StepSpec step = MakeImageStep(24, Resources{3200, 6400, 0},
+                                  "serving" + std::to_string(number % 16));
+    step.perpetual = true;
+    step.latency_target = Duration(50);
+    harness.AddJob("serving-job" + std::to_string(number), step);
+  }
+  harness.RunRound();
+  for (int number = 0; number < 60; ++number) {
+    StepSpec step = MakeImageStep(39, Resources{1800, 3200, 0},
+                                  "batch" + std::to_string(number % 30));
+    step.best_effort = true;
+    harness.AddJob("batch-job" + std::to_string(number), step, 2);
+  }
+  for (int number = 0; number < 20; ++number) {
+    harness.AddJob("short-job" + std::to_string(number), MakeStep(9, 900));
+  }
+}
+
+/// @returns how long one round of placement takes, in ms.
+double TimeRound(SchedulerHarness& harness) {
+  const auto began = std::chrono::steady_clock::now();
+  harness.scheduler().Place();
+  return std::chrono::duration<double, std::milli>(
+             std::chrono::steady_clock::now() - began)
+      .count();
+}
+
+int Run() {
+  SchedulerHarness harness;
+  AddLoad(harness);
+  harness.RunRound();
+  std::vector<double> rounds;
+  for (int round = 0; round < kRounds; ++round) {
+    rounds.push_back(TimeRound(harness));
+  }
+  std::sort(rounds.begin(), rounds.end());
+  std::printf(
+      "a round at %d hosts with a backlog: median %.2f ms, most %.2f ms\n",
+      kHosts, rounds[kRounds / 2], rounds.back());
+  return 0;
+}
+
+}  // namespace
+}  // namespace zinniacart
+
+int main() {
+  return zinniacart::Run();
+}
