--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -262,8 +262,9 @@
   CHECK(orders.stops[0] == orphan);
 }
 
-// Load: hosts whose worker is gone. Their agents can only repeat what the worker
-// said last; asking them to stop it again and again would keep the owner busy.
+// Load: hosts whose worker is gone. Their agents can only repeat what the
+// worker said last; asking them to stop it again and again would keep the owner
+// busy.
 TEST(Scheduler, AnOrphanIsStoppedAgainOnlyWhenANewListStillShowsIt) {
   harness.AddHost("a", 4);
   const TaskRun orphan = MakeRun(JobId("unknown"), 0, 1);
--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -123,7 +123,7 @@
       });
 }
 
-void EntryNode::HandOver(const EntryId& to, net::Responder respond) {
+void EntryNode::HandOver(const EntryId& to, const net::Responder& respond) {
   if (m_succession.ShouldYieldTo(to)) {
     m_owner->HandOver(to);
   }
@@ -186,7 +186,7 @@
     return respond(net::Response{kOk, {}, {}});
   }
   if (const auto entry = After(request, peer_paths::kHandOver)) {
-    return HandOver(EntryId(*entry), std::move(respond));
+    return HandOver(EntryId(*entry), respond);
   }
   if (const auto id = After(request, peer_paths::kJobState)) {
     const auto state = m_owner->StateOf(JobId(*id), QueueId(request.body));
--- a/packages/site/entry_node.h
+++ b/packages/site/entry_node.h
@@ -56,7 +56,7 @@
   void HandlePeer(net::Request request, net::Responder respond);
   void HandleStoreRequest(const net::Request& request, net::Responder respond);
   void OnDirectoryChanged();
-  void HandOver(const EntryId& to, net::Responder respond);
+  void HandOver(const EntryId& to, const net::Responder& respond);
   void ConsiderOffer();
   void HandleQuestion(const net::Request& request, net::Responder respond);
 
--- a/packages/site/tests/prefix_follower_test.cc
+++ b/packages/site/tests/prefix_follower_test.cc
@@ -46,7 +46,8 @@
     std::exchange(m_list, nullptr)(std::move(snapshot));
   }
 
-  void AnswerWatch(std::vector<std::uint64_t> revisions, Duration received_in) {
+  void AnswerWatch(const std::vector<std::uint64_t>& revisions,
+                   Duration received_in) {
     StoreEvents events;
     for (const std::uint64_t revision : revisions) {
       events.events.push_back(
