--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -91,6 +91,18 @@
             for job in jobs:
                 self.assertEqual(5, len(self.completes(site, job, other)))
 
+    def test_a_stronger_entry_takes_over_and_a_weak_one_helps_out(self):
+        with PlatformSite(entries=1, cpu_share=0.05) as site:
+            weak = site.owner()
+            jobs = [site.submit(STEPS, seconds=1.0) for _ in range(4)]
+            strong = site.add_entry(0.5)
+            wait_for("the stronger entry owns", lambda: site.owner() is strong)
+            for job in jobs:
+                self.assertEqual(5, len(self.completes(site, job)))
+            strong.kill()
+            wait_for("the weak entry owns again", lambda: site.owner() is weak)
+            self.assertEqual(5, len(self.completes(site, site.submit(STEPS))))
+
     def test_a_frozen_owner_wakes_deposed(self):
         with PlatformSite(entries=3) as site:
             owner = site.owner()
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -108,7 +108,7 @@
 class PlatformSite:
     """A store, some workers with their agents, some entries."""
 
-    def __init__(self, entries=2, hosts=2, cores=4):
+    def __init__(self, entries=2, hosts=2, cores=4, cpu_share=0.5):
         self.folder = tempfile.mkdtemp(prefix="zinniacart-")
         self.store = platform_store.Store()
         port = platform_store.serve(self.store).server_address[1]
@@ -124,10 +124,8 @@
             worker.control = f"127.0.0.1:{agent.ports[3]}"
             self.workers.append(worker)
             self.agents.append(agent)
-        for number in range(entries):
-            entry = Node(self, "entry", f"entry-{number}", f"zone-{number}", {})
-            entry.start_first()
-            self.entries.append(entry)
+        for _ in range(entries):
+            self.add_entry(cpu_share)
         try:
             for number in range(entries):
                 wait_for("the entry is ready", lambda: self.ready(number))
@@ -136,6 +134,15 @@
             self.__exit__()
             raise
 
+    def add_entry(self, cpu_share):
+        """Starts one more entry that may use this share of a core. @returns it."""
+        number = len(self.entries)
+        entry = Node(self, "entry", f"entry-{number}", f"zone-{number}",
+                     {"limits": {"cpu_share": cpu_share}})
+        entry.start_first()
+        self.entries.append(entry)
+        return entry
+
     def __enter__(self):
         return self
 
