Learn interference without blaming harmless work

Ruled out: a lag of the tail behind the use (the mean of two lists fits best, a list alone or the nominal use worse); interference by share of the host instead of cores (same fit); one rank of images by tasks (pairs are near 0 or at 0.2 to 0.5, in no such order). Change: outliers are weighed down instead of raising the uncertainty; a misfit that lasts raises it; the load of a step is a random walk; use is the mean of two lists, unsteady by its difference; the prior is that of a majority that does not interfere.

--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -100,14 +100,8 @@
   std::uint64_t recorded_ends = 0;   ///< Ends up to this number are stored;
                                      ///< the worker may forget them.
 
-  /// Best-effort work that ended recently and that the newest latency
-  /// measurements may still include.
-  struct EndedUse {
-    std::string image;
-    double cores = 0;
-    Instant at;
-  };
-  std::vector<EndedUse> ended_use;
+  /// Cores in use by best-effort work at the last pacing decision, by image.
+  std::map<std::string, double> measured_use;
   /// List number and time of the last pacing decision.
   std::uint64_t measured_list = 0;
   Instant measured_at;
--- a/packages/scheduling/interference_model.cc
+++ b/packages/scheduling/interference_model.cc
@@ -13,6 +13,8 @@
 /// Lower bound of the error of a measured margin: tail latencies are reported
 /// in whole milliseconds.
 constexpr double kMinNoise = 0.05;
+/// Distance of a lower bound from a measurement, in standard deviations.
+constexpr double kLowerBoundDeviations = 1.5;
 
 }  // namespace
 
@@ -42,40 +44,55 @@
                               ServingLoad& load,
                               Instant now) {
   const double load_variance = load.Variance(now);
-  Expectation expectation =
-      Expect(serving_image, margin, colocated, load, now, 1.0);
+  const Expectation expectation =
+      Expect(serving_image, margin, colocated, load, now);
   const double residual = margin - expectation.margin;
   if (residual > 0 && margin < m_settings.saturated_margin) {
     return;
   }
-  const bool outlier =
-      Square(residual) >
-      Square(m_settings.outlier_deviations) * expectation.variance;
-  const double inflation = outlier ? m_settings.outlier_inflation : 1.0;
-  if (outlier) {
-    expectation =
-        Expect(serving_image, margin, colocated, load, now, inflation);
-  }
-  const double variance = expectation.variance;
+  const double error = residual / std::sqrt(expectation.variance);
+  const double variance =
+      expectation.variance *
+      std::max(1.0, std::abs(error) / m_settings.outlier_deviations);
   // Interference only lowers a margin, so a measured margin less its error is a
   // lower bound of the baseline. Tasks that are slow because of their host must
   // not hide it.
-  const double lower_bound = margin * (1 - m_settings.measurement_noise);
+  const double lower_bound =
+      margin * (1 - kLowerBoundDeviations * m_settings.measurement_noise);
   load.Correct(std::max(lower_bound,
                         load.margin() + residual * load_variance / variance),
                load_variance * (1 - load_variance / variance), now);
   for (const ImageUse& use : colocated) {
-    const InterferenceEstimate interference =
-        Estimate(serving_image, use.image, now);
-    const double deviation = inflation * interference.deviation;
-    const double gain = -use.cores * Square(deviation) / variance;
-    PairEstimate& estimate = m_estimates[{serving_image, use.image}];
-    estimate.at = now;
-    estimate.interference.loss_per_core =
-        std::clamp(interference.loss_per_core + gain * residual, 0.0,
-                   m_settings.max_loss_per_core);
+    CorrectPair({serving_image, use.image}, use, residual, variance, error,
+                now);
+  }
+}
+
+void InterferenceModel::CorrectPair(const Pair& pair,
+                                    const ImageUse& use,
+                                    double residual,
+                                    double variance,
+                                    double error,
+                                    Instant now) {
+  const InterferenceEstimate before = Estimate(pair.first, pair.second, now);
+  const double gain = -use.cores * Square(before.deviation) / variance;
+  PairEstimate& estimate = m_estimates[pair];
+  estimate.at = now;
+  estimate.interference.loss_per_core =
+      std::clamp(before.loss_per_core + gain * residual, 0.0,
+                 m_settings.max_loss_per_core);
+  estimate.interference.deviation =
+      std::sqrt(Square(before.deviation) * (1 + gain * use.cores));
+  if (use.cores < m_settings.min_cores_for_misfit) {
+    return;
+  }
+  const double limit = 2 * m_settings.outlier_deviations;
+  estimate.misfit += m_settings.newest_misfit *
+                     (std::clamp(error, -limit, limit) - estimate.misfit);
+  if (std::abs(estimate.misfit) > m_settings.max_misfit) {
     estimate.interference.deviation =
-        std::sqrt(Square(deviation) * (1 + gain * use.cores));
+        std::min(m_settings.max_deviation,
+                 m_settings.misfit_inflation * before.deviation);
   }
 }
 
@@ -84,18 +101,17 @@
     double margin,
     const std::vector<ImageUse>& colocated,
     const ServingLoad& load,
-    Instant now,
-    double inflation) const {
+    Instant now) const {
   Expectation expectation{load.margin(),
                           load.Variance(now) + NoiseVariance(margin)};
   for (const ImageUse& use : colocated) {
     const InterferenceEstimate interference =
         Estimate(serving_image, use.image, now);
     expectation.margin -= interference.loss_per_core * use.cores;
+    expectation.variance += Square(interference.deviation * use.cores);
     expectation.variance +=
-        Square(inflation * interference.deviation * use.cores);
-    expectation.variance +=
-        Square(m_settings.transient_noise * interference.Conservative() *
+        Square(m_settings.transient_noise *
+               (interference.loss_per_core + interference.deviation) *
                use.unsteady_cores);
   }
   return expectation;
@@ -115,7 +131,7 @@
   const double seconds =
       std::chrono::duration<double>(now - found->second.at).count();
   interference.deviation = std::min(
-      m_settings.prior_deviation,
+      m_settings.max_deviation,
       std::sqrt(Square(interference.deviation) +
                 Square(m_settings.deviation_growth_per_second) * seconds));
   return interference;
--- a/packages/scheduling/interference_model.h
+++ b/packages/scheduling/interference_model.h
@@ -13,25 +13,35 @@
 
 struct InterferenceSettings {
   /// Assumed of a pair of images before it is first measured: the loss of
-  /// margin for each core of best-effort work, which lies between 0.1 for
-  /// harmless and 2 for harmful images, and its standard deviation.
-  double prior_loss_per_core = 0.3;
-  double prior_deviation = 0.6;
+  /// margin for each core of best-effort work, and its standard deviation. Most
+  /// pairs do not interfere, some lose up to half of a target for each core.
+  double prior_loss_per_core = 0.08;
+  double prior_deviation = 0.2;
   /// Standard deviation of the random drift of an estimate within one second,
-  /// because interference changes within seconds.
-  double deviation_growth_per_second = 0.05;
-  /// A measurement that is off by more than `outlier_deviations` standard
-  /// deviations shows that an estimate has become wrong: its deviation is
-  /// multiplied by `outlier_inflation` before the correction.
-  double outlier_deviations = 2.0;
-  double outlier_inflation = 2.5;
+  /// because interference changes with what the tasks do.
+  double deviation_growth_per_second = 0.02;
+  /// A measurement that is off by more than this many standard deviations is
+  /// weighed down: a burst of short tasks, a slow host or a restarted serving
+  /// task raises a tail latency as well, and must not count as interference of
+  /// whatever runs beside it.
+  double outlier_deviations = 1.5;
+  /// Where the error of a pair's predictions, averaged with `newest_misfit` as
+  /// the weight of the newest one, exceeds `max_misfit` standard deviations,
+  /// its interference has changed: its deviation is multiplied by
+  /// `misfit_inflation` with each measurement, up to `max_deviation`.
+  double newest_misfit = 0.3;
+  double max_misfit = 1.3;
+  double misfit_inflation = 1.5;
+  double max_deviation = 0.5;
+  /// Work on fewer cores says too little about a misfit.
+  double min_cores_for_misfit = 0.3;
   /// Upper bound of an estimated loss of margin for each core.
   double max_loss_per_core = 5.0;
   /// Relative error of a measured tail latency.
   double measurement_noise = 0.08;
   /// Share of the interference of unsteady work that the measurements may not
   /// show yet, or may still show.
-  double transient_noise = 0.6;
+  double transient_noise = 0.5;
   /// Below this margin the serving task's queue is saturated: further
   /// interference no longer lowers the margin.
   double saturated_margin = 0.35;
@@ -40,9 +50,9 @@
 /// Processor use of one image of best-effort work on a host.
 struct ImageUse {
   std::string image;
-  double cores = 0;  ///< In use, as measured.
-  /// Cores of work that started, ended or changed its pace so recently that the
-  /// latency measurements may not reflect it.
+  double cores = 0;  ///< In use while the tail latency was measured.
+  /// Change of the use meanwhile: the measured tail latency may contain less or
+  /// more of it than `cores`.
   double unsteady_cores = 0;
 };
 
@@ -68,7 +78,8 @@
 /// proportion to the utilization of a server, so the losses from several images
 /// add up at any load. Each measurement corrects the estimates of the pairs and
 /// the estimate of the serving step's own load in proportion to the uncertainty
-/// of each, as a Kalman filter does.
+/// of each, as a Kalman filter does; outliers count less, as in Huber's
+/// estimator.
 class InterferenceModel final {
  public:
   explicit InterferenceModel(InterferenceSettings settings = {})
@@ -105,6 +116,8 @@
   using Pair = std::pair<std::string, std::string>;
   struct PairEstimate {
     InterferenceEstimate interference;
+    /// Mean error of the recent predictions, in standard deviations.
+    double misfit = 0;
     Instant at;
   };
 
@@ -115,12 +128,22 @@
   };
 
   double NoiseVariance(double margin) const;
+  /// Corrects the estimate of one pair.
+  /// @param use      of the best-effort image.
+  /// @param residual measured less predicted margin.
+  /// @param variance of the residual, with outliers weighed down.
+  /// @param error    the residual in standard deviations.
+  void CorrectPair(const Pair& pair,
+                   const ImageUse& use,
+                   double residual,
+                   double variance,
+                   double error,
+                   Instant now);
   Expectation Expect(const std::string& serving_image,
                      double margin,
                      const std::vector<ImageUse>& colocated,
                      const ServingLoad& load,
-                     Instant now,
-                     double inflation) const;
+                     Instant now) const;
 
   InterferenceSettings m_settings;
   std::map<Pair, PairEstimate> m_estimates;
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -184,7 +184,6 @@
   /// The agent reports that the worker's lease has expired.
   void ExpireRunsAtAgent(Host& host);
   void ExpireRuns(Host& host, const char* reason);
-  void EraseRun(Host& host, const TaskRun& id);
   /// Removes a run that has ended or never started, and makes its task pending
   /// again.
   /// @param checkpoint passed by value because it may belong to the run that is
@@ -200,9 +199,15 @@
   /// Decides the paces of the host's best-effort tasks from a new list of
   /// measurements.
   void UpdatePacing(Host& host, std::uint64_t list_number);
-  /// @returns the cores that best-effort tasks use on the host, by image.
-  std::vector<ImageUse> BestEffortUse(Host& host) const;
-  void ObserveServing(Host& host);
+  /// Reads the cores that best-effort tasks use on the host from its new list.
+  /// The worker measures use and tail latency over half a second each, but not
+  /// the same one, so the use beside a tail latency is taken as the mean of the
+  /// last two lists.
+  /// @returns the use by image.
+  static std::vector<ImageUse> MeasureBestEffortUse(Host& host);
+  /// Learns from the tail latencies of the host's serving tasks.
+  /// @param colocated the best-effort work beside them.
+  void ObserveServing(Host& host, const std::vector<ImageUse>& colocated);
   void SetPace(Host& host, const BestEffortPace& change);
   /// @returns for each of `serving_images` the upper estimate of the margin
   /// that each core of `run` takes from it.
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "scheduling/consolidation.h"
 #include "scheduling/placement.h"
@@ -28,28 +30,26 @@
 
 }  // namespace
 
-std::vector<ImageUse> Scheduler::BestEffortUse(Host& host) const {
-  const Instant now = m_clock.Now();
-  std::map<std::string, ImageUse> uses;
+std::vector<ImageUse> Scheduler::MeasureBestEffortUse(Host& host) {
+  std::map<std::string, double> measured;
   for (const auto& [id, run] : host.runs) {
     if (run.started && run.best_effort) {
-      ImageUse& use = uses[run.image];
-      use.cores += CoresInUse(run);
-      use.unsteady_cores += IsUnsteady(run, now) ? run.demand.cores() : 0;
+      measured[run.image] += CoresInUse(run);
     }
   }
-  std::erase_if(host.ended_use, [&](const Host::EndedUse& ended) {
-    return now - ended.at > kMeasureDelay;
-  });
-  for (const Host::EndedUse& ended : host.ended_use) {
-    uses[ended.image].unsteady_cores += ended.cores;
+  const std::map<std::string, double> before =
+      std::exchange(host.measured_use, measured);
+  for (const auto& [image, cores] : before) {
+    measured.try_emplace(image, 0.0);
   }
-  std::vector<ImageUse> result;
-  for (auto& [image, use] : uses) {
-    use.image = image;
-    result.push_back(std::move(use));
+  std::vector<ImageUse> uses;
+  for (const auto& [image, cores] : measured) {
+    const auto found = before.find(image);
+    const double cores_before = found == before.end() ? 0.0 : found->second;
+    uses.push_back(ImageUse{image, (cores + cores_before) / 2,
+                            std::abs(cores - cores_before)});
   }
-  return result;
+  return uses;
 }
 
 void Scheduler::UpdatePacing(Host& host, std::uint64_t list_number) {
@@ -62,7 +62,7 @@
   }
   host.measured_list = list_number;
   host.measured_at = now;
-  ObserveServing(host);
+  ObserveServing(host, MeasureBestEffortUse(host));
   std::vector<ServingMeasure> serving;
   std::vector<std::string> images;
   for (const auto& [id, run] : host.runs) {
@@ -105,9 +105,9 @@
   host.has_orders = true;
 }
 
-void Scheduler::ObserveServing(Host& host) {
+void Scheduler::ObserveServing(Host& host,
+                               const std::vector<ImageUse>& colocated) {
   const Instant now = m_clock.Now();
-  const auto colocated = BestEffortUse(host);
   for (auto& [id, run] : host.runs) {
     const auto margin = run.margin();
     if (!run.started || !run.serves || !margin) {
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -151,7 +151,7 @@
     return;
   }
   LearnRunTime(*job, run);
-  EraseRun(host, ended.id);
+  host.runs.erase(ended.id);
   CountOutcome(host, ended.id, false);
   const bool was_active = job->active();
   const StepSpec& step = job->spec().steps[ended.id.task.step];
@@ -325,25 +325,12 @@
   }
 }
 
-void Scheduler::EraseRun(Host& host, const TaskRun& id) {
-  const auto found = host.runs.find(id);
-  if (found == host.runs.end()) {
-    return;
-  }
-  const HostedRun& run = found->second;
-  if (run.best_effort && run.started) {
-    host.ended_use.push_back(
-        Host::EndedUse{run.image, run.demand.cores(), m_clock.Now()});
-  }
-  host.runs.erase(found);
-}
-
 void Scheduler::DropRun(Host& host,
                         const TaskRun& id,
                         CheckpointId checkpoint,
                         bool failed,
                         const char* reason) {
-  EraseRun(host, id);
+  host.runs.erase(id);
   m_log({"run released", id, host.id(), reason});
   Job* job = FindJob(id.task.job);
   if (job == nullptr) {
--- a/packages/scheduling/serving_load.cc
+++ b/packages/scheduling/serving_load.cc
@@ -21,9 +21,8 @@
       m_corrected_at(now) {}
 
 double ServingLoad::Variance(Instant now) const {
-  const double drift =
-      m_settings.drift_per_second * Seconds(now - m_corrected_at);
-  return m_variance + drift * drift;
+  const double drift = m_settings.drift_per_second;
+  return m_variance + drift * drift * Seconds(now - m_corrected_at);
 }
 
 void ServingLoad::Correct(double margin, double variance, Instant now) {
--- a/packages/scheduling/serving_load.h
+++ b/packages/scheduling/serving_load.h
@@ -8,8 +8,9 @@
 namespace zinniacart {
 
 struct ServingLoadSettings {
-  /// Standard deviation of the drift of the baseline margin within one second.
-  double drift_per_second = 0.35;
+  /// Standard deviation of the random drift of the baseline margin within one
+  /// second.
+  double drift_per_second = 0.7;
   /// The trend is fitted to the estimates of this period.
   Duration trend_window{2500};
   /// Estimates that cover less time than this give no trend, only noise.
--- a/packages/scheduling/tests/interference_model_test.cc
+++ b/packages/scheduling/tests/interference_model_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cmath>
 #include <random>
 
 #include "scheduling/serving_load.h"
@@ -84,6 +85,30 @@
   CHECK(LossPerCore("batch") < 0.1);
 }
 
+// Replays a host at the worst load: best-effort tasks of one image come and go
+// within two seconds beside a serving task whose traffic rises and falls, and
+// bursts of short tasks raise its tail latency now and then. Work that does not
+// interfere must not be blamed for that, or it would be halted at every peak.
+TEST(InterferenceModel, HarmlessWorkIsNotBlamedForBurstsOfOtherTasks) {
+  constexpr double kBlamed = 0.1;
+  std::mt19937 random(11);
+  std::normal_distribution<double> noise(0.0, 0.08);
+  constexpr double kSamplesPerWave = 28;
+  int blamed = 0;
+  for (int sample = 0; sample < 140; ++sample) {
+    const double baseline =
+        2.75 + 1.15 * std::sin(2 * M_PI * sample / kSamplesPerWave);
+    const double cores = sample % 4 == 0 ? 1.7 : 3.5;
+    const bool burst = sample % 9 == 8;
+    Learn(baseline * (1 + noise(random)), {});
+    Learn(baseline * (burst ? 0.4 : 1.0) * (1 + noise(random)),
+          {ImageUse{"harmless", cores, cores < 3 ? 3.5 : 0.0}});
+    blamed += sample >= 20 && LossPerCore("harmless") > kBlamed ? 1 : 0;
+    clock.Advance(Duration(500));
+  }
+  LONGS_EQUAL(0, blamed);
+}
+
 TEST(InterferenceModel, UnsteadyWorkChangesEstimatesLess) {
   InterferenceModel steady;
   ServingLoad steady_load = load;
