Plan paces by the expected interference and tolerate small losses

Cause: paces are planned by the upper quartile of each estimate, so work of an unknown pair is halted, shows nothing, and stays unknown; and a run that takes a tenth of a target is halted as soon as the margin is used up, though its job waits for its slowest task. Change: the expected loss is planned with; runs that are expected to take less than 0.3 of a target are not slowed until the tail stays over it, then all but harmless ones are halted as before; the trend is extrapolated from the middle of the measurement.

--- a/packages/scheduling/host.cc
+++ b/packages/scheduling/host.cc
@@ -49,8 +49,7 @@
 double Host::PredictSpareMarginUse(const InterferenceModel& model,
                                    const std::string& image,
                                    double cores,
-                                   Instant now,
-                                   EstimateBound bound) const {
+                                   Instant now) const {
   std::map<std::string, double> cores_by_image{{image, cores}};
   for (const auto& [id, run] : runs) {
     if (run.best_effort && !run.stopping) {
@@ -67,11 +66,8 @@
     const double spare_margin = SpareMargin(run);
     double loss = 0;
     for (const auto& [best_effort_image, best_effort_cores] : cores_by_image) {
-      const InterferenceEstimate estimate =
-          model.Estimate(run.image, best_effort_image, now);
-      loss += best_effort_cores * (bound == EstimateBound::kExpected
-                                       ? estimate.loss_per_core
-                                       : estimate.Conservative());
+      loss += best_effort_cores *
+              model.Estimate(run.image, best_effort_image, now).loss_per_core;
     }
     worst = std::max(worst, loss / std::max(spare_margin, kMinSpareMargin));
   }
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -57,10 +57,6 @@
 /// Lower bound of a spare margin that is used as a divisor.
 constexpr double kMinSpareMargin = 0.05;
 
-/// Which value of an uncertain interference estimate a prediction uses: the
-/// expected loss of margin, or `InterferenceEstimate::Conservative`.
-enum class EstimateBound { kExpected, kConservative };
-
 /// The shard owner's state of one host: what its agent last reported, the runs
 /// placed there, and the orders still to be sent. Not thread-safe.
 class Host final {
@@ -131,12 +127,10 @@
   /// @param cores that the additional work would use.
   /// @returns the share of its spare margin that the worst affected serving
   /// task would lose to all best-effort work here; 1 uses up the spare margin.
-  double PredictSpareMarginUse(
-      const InterferenceModel& model,
-      const std::string& image,
-      double cores,
-      Instant now,
-      EstimateBound bound = EstimateBound::kExpected) const;
+  double PredictSpareMarginUse(const InterferenceModel& model,
+                               const std::string& image,
+                               double cores,
+                               Instant now) const;
   /// @returns the margin that a serving run is expected to have without
   /// best-effort work, minus the planned margin of `HostPacing`.
   double SpareMargin(const HostedRun& run) const;
--- a/packages/scheduling/host_pacing.cc
+++ b/packages/scheduling/host_pacing.cc
@@ -76,15 +76,18 @@
   }
 }
 
+double HostPacing::ToleratedLoss() const {
+  return m_confidence < 1.0 ? m_settings.harmless_loss
+                            : m_settings.negligible_loss;
+}
+
 int HostPacing::Plan(const BestEffortPace& task,
                      std::vector<double>& spare) const {
-  if (WorstLoss(task) < m_settings.negligible_loss) {
-    return kFullSpeed;
-  }
-  double share = m_confidence;
+  const double tolerated = ToleratedLoss();
+  double share = WorstLoss(task) < tolerated ? 1.0 : m_confidence;
   for (std::size_t index = 0; index < spare.size(); ++index) {
     const double loss = task.loss_per_core[index] * task.cores;
-    if (loss >= m_settings.negligible_loss) {
+    if (loss >= tolerated) {
       share = std::min(share, std::max(0.0, spare[index]) / loss);
     }
   }
--- a/packages/scheduling/host_pacing.h
+++ b/packages/scheduling/host_pacing.h
@@ -28,8 +28,8 @@
   /// It started or changed its pace so recently that the measurements do not
   /// show the effect yet.
   bool unsteady = false;
-  /// For each serving task of the host: the margin that it must be expected to
-  /// lose for each core of this run.
+  /// For each serving task of the host: the margin that it is expected to lose
+  /// for each core of this run.
   std::vector<double> loss_per_core;
 };
 
@@ -39,7 +39,7 @@
   double planned_margin = 1.1;
   /// A task whose margin stays below `halt_below` for `halt_after` because of
   /// interference shows that the plan is wrong: all best-effort runs are halted
-  /// whose expected interference is not negligible.
+  /// that are not harmless.
   double halt_below = 1.0;
   Duration halt_after{600};
   /// After a halt, the plan is resumed in steps of `recover_step` of each pace,
@@ -54,8 +54,13 @@
   /// Smaller changes of a pace, in percent, are not sent: they are not worth a
   /// call.
   int min_change = 10;
-  /// Runs that are expected to take less margin than this are never slowed.
-  double negligible_loss = 0.08;
+  /// Runs that are expected to take less margin than this are not slowed by the
+  /// plan: it gives less back to the serving task than the plan may be off, and
+  /// a job waits for its slowest task.
+  double negligible_loss = 0.3;
+  /// Runs that are expected to take less margin than this are not halted
+  /// either.
+  double harmless_loss = 0.08;
 };
 
 /// Decides how fast best-effort runs may work that are colocated with serving
@@ -65,8 +70,8 @@
 ///
 /// Runs get their pace in ascending order of expected interference, each
 /// limited by the margin that is left. Where a tail latency stays over its
-/// target all the same, runs with more than negligible interference are halted
-/// and resumed in steps. A run whose newest pace the measurements do not show
+/// target all the same, all runs but harmless ones are halted and resumed in
+/// steps. A run whose newest pace the measurements do not show
 /// yet may be slowed further, but not sped up.
 class HostPacing final {
  public:
@@ -89,6 +94,8 @@
  private:
   void AdjustConfidence(const std::vector<ServingMeasure>& serving,
                         Instant now);
+  /// @returns the loss of margin below which a run is not slowed at present.
+  double ToleratedLoss() const;
   int Plan(const BestEffortPace& task, std::vector<double>& spare) const;
   bool IsSignificantChange(const BestEffortPace& task, int percent) const;
 
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -51,7 +51,7 @@
   predicted.harmless =
       std::all_of(predicted.interference.begin(), predicted.interference.end(),
                   [&](const InterferenceEstimate& estimate) {
-                    return step.demand.cores() * estimate.Conservative() <=
+                    return step.demand.cores() * estimate.loss_per_core <=
                            kHarmlessMarginLoss;
                   });
   return predicted;
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -209,8 +209,8 @@
   /// @param colocated the best-effort work beside them.
   void ObserveServing(Host& host, const std::vector<ImageUse>& colocated);
   void SetPace(Host& host, const BestEffortPace& change);
-  /// @returns for each of `serving_images` the upper estimate of the margin
-  /// that each core of `run` takes from it.
+  /// @returns for each of `serving_images` the estimated margin that each core
+  /// of `run` takes from it.
   std::vector<double> MarginLossPerCore(
       const HostedRun& run,
       const std::vector<std::string>& serving_images) const;
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -133,8 +133,8 @@
     const std::vector<std::string>& serving_images) const {
   std::vector<double> losses;
   for (const std::string& image : serving_images) {
-    losses.push_back(m_interference.Estimate(image, run.image, m_clock.Now())
-                         .Conservative());
+    losses.push_back(
+        m_interference.Estimate(image, run.image, m_clock.Now()).loss_per_core);
   }
   return losses;
 }
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -212,8 +212,7 @@
 
 int Scheduler::InitialPace(const Host& host, const StepSpec& step) const {
   const double pressure = host.PredictSpareMarginUse(
-      m_interference, step.image, step.demand.cores(), m_clock.Now(),
-      EstimateBound::kConservative);
+      m_interference, step.image, step.demand.cores(), m_clock.Now());
   const int percent =
       pressure > 1 ? static_cast<int>(kFullSpeed / pressure) : kFullSpeed;
   return std::max(percent, kMinInitialPace);
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -48,9 +48,10 @@
   /// Once a job has waited this long without a running task, its best-effort
   /// tasks may be placed where they must be slowed down.
   Duration max_wait_for_full_speed{1500};
-  /// Time from a latency measurement until the pace derived from it takes
-  /// effect: half a second of measuring, the report, and the worker's delay.
-  Duration pace_effect_delay{900};
+  /// Time from the middle of a latency measurement until the pace derived from
+  /// it takes effect: a quarter of a second of measuring, the report, and the
+  /// worker's delay.
+  Duration pace_effect_delay{600};
   /// A best-effort task whose pace has been 0 for this long is moved to another
   /// host if one is available.
   Duration move_halted_after{700};
