Drop the cost that kept hosts without serving tasks for harmful work

Cause: the rule asked whether a task is harmless beside every serving image of the site, which no estimate ever meets, so the rule never applied. The pressure of all work on a host is a good measure of how crowded it is, also for work that does not interfere. Change: the cost goes; pressure stays as it was.

--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -20,42 +20,18 @@
 /// Cost of putting a serving task on a host that has none: such hosts are kept
 /// for best-effort work that interferes with serving tasks.
 constexpr double kFirstServingTaskCost = 10000.0;
-/// Cost of putting harmless best-effort work on a host without serving tasks:
-/// such hosts are kept for best-effort work that interferes.
-constexpr double kHarmlessWithoutServingCost = 15000.0;
 /// Cost reduction of the host that a task is being moved to; outweighs the
 /// tightest fit.
 constexpr double kMoveTargetGain = 40000.0;
 /// Cost of mixing serving tasks of several images on a host: the more images,
 /// the fewer kinds of best-effort work interfere with none of them.
 constexpr double kMixImagesCost = 20000.0;
-/// A task that takes at most this much latency margin counts as harmless.
-constexpr double kHarmlessMarginLoss = 0.1;
 /// Best-effort work is colocated with serving tasks only while it is predicted
 /// to take at most this share of their spare latency margin.
 constexpr double kMaxPressure = 0.9;
 
-/// Predicted interference of a best-effort task, computed once per decision.
-struct PredictedInterference {
-  std::vector<InterferenceEstimate> interference;  ///< By serving image.
-  bool harmless = true;  ///< Negligible interference with every serving image.
-};
-
-PredictedInterference PredictInterference(const PlacementIndex& index,
-                                          const StepSpec& step) {
-  PredictedInterference predicted;
-  if (!step.best_effort) {
-    return predicted;
-  }
-  predicted.interference = index.InterferenceOf(step.image);
-  predicted.harmless =
-      std::all_of(predicted.interference.begin(), predicted.interference.end(),
-                  [&](const InterferenceEstimate& estimate) {
-                    return step.demand.cores() * estimate.loss_per_core <=
-                           kHarmlessMarginLoss;
-                  });
-  return predicted;
-}
+/// Estimated interference of a best-effort task, by serving image.
+using PredictedInterference = std::vector<InterferenceEstimate>;
 
 bool Allowed(const PlacementRequest& request, const HostCapacity& capacity) {
   const StepSpec& step = request.step;
@@ -76,8 +52,7 @@
   double worst = 0;
   for (const ServingMargin& serving : capacity.serving) {
     const double loss =
-        serving.lost_margin +
-        cores * predicted.interference[serving.image].loss_per_core;
+        serving.lost_margin + cores * predicted[serving.image].loss_per_core;
     worst =
         std::max(worst, loss / std::max(serving.spare_margin, kMinSpareMargin));
   }
@@ -100,11 +75,7 @@
   if (!acceptable && !request.relax_best_effort_limits) {
     return std::nullopt;
   }
-  double cost = kPressureCost * pressure - idle;
-  if (capacity.serving.empty() && predicted.harmless) {
-    cost += kHarmlessWithoutServingCost;
-  }
-  return cost;
+  return kPressureCost * pressure - idle;
 }
 
 /// @returns the cost of a serving task on the host, in addition to its fit.
@@ -204,7 +175,8 @@
                                  const PlacementRequest& request,
                                  const ReservedCapacity& reserved) {
   const PredictedInterference predicted =
-      PredictInterference(index, request.step);
+      request.step.best_effort ? index.InterferenceOf(request.step.image)
+                               : PredictedInterference{};
   const std::uint32_t max_per_host = request.step.most_per_host;
   const HostCapacity* best = nullptr;
   double best_cost = 0;
