Start no job where it must be slowed while the site is busy

Cause: once a job has waited for 1.5 s, its first task starts on any host, also where it is halted at once. At the worst load that is every job: the slowest task decides when it ends, and one halted task a job holds a place and memory. Ruled out: dropping the rule altogether; a job must not wait beside free hosts. Change: the rule holds while less than 0.6 of the service's capacity is reserved. The test replays serving tasks at their peak on a busy host.

--- a/packages/scheduling/placement.h
+++ b/packages/scheduling/placement.h
@@ -19,7 +19,8 @@
   const StepSpec& step;
   const Task& task;
   /// Also accepts hosts where best-effort work has to be throttled. Set for a
-  /// job that has waited long without a running task.
+  /// job that has waited long without a running task on a site that is not
+  /// busy.
   bool relax_best_effort_limits = false;
   std::string rack{};  ///< Only hosts of this rack; empty: any.
   /// The host that consolidation empties: only other hosts that already run
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -139,6 +139,9 @@
   const std::map<JobId, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
   const std::map<HostId, Host>& hosts() const { return m_hosts; }
   const InterferenceModel& interference() const { return m_interference; }
+  /// Adds what an earlier owner had learned about interference.
+  /// @returns the errors of `::RestoreInterference`.
+  Result<void> RestoreInterference(const std::string& bytes, Duration age);
   Epoch epoch() const { return m_epoch; }
 
  private:
@@ -224,6 +227,9 @@
   bool LeavesHeadroom(const PlacementIndex& index,
                       const Job& job,
                       const StepSpec& step) const;
+  /// @returns whether the job's best-effort tasks may start where they must be
+  /// slowed down.
+  bool MayStartSlowed(const PlacementIndex& index, const Job& job) const;
   void SaveCheckpoints();
   void UpdateHealth(Host& host);
   /// Passes the speeds of the running tasks to the host's health estimate.
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -141,6 +141,24 @@
   return free - step.demand.millicores >= reserve;
 }
 
+bool Scheduler::MayStartSlowed(const PlacementIndex& index,
+                               const Job& job) const {
+  if (m_clock.Now() - job.accepted() <= m_settings.max_wait_for_full_speed) {
+    return false;
+  }
+  std::int64_t capacity = 0;
+  std::int64_t free = 0;
+  for (const HostCapacity& room : index.usable_hosts()) {
+    if (room.host->facts->service == job.policy().service) {
+      capacity += room.host->facts->capacity.millicores;
+      free += std::max<std::int64_t>(0, room.free.millicores);
+    }
+  }
+  return static_cast<double>(capacity - free) <
+         m_settings.max_reserved_to_start_slowed *
+             static_cast<double>(capacity);
+}
+
 PlacementIndex Scheduler::MakeIndex() const {
   return PlacementIndex(m_hosts, m_drained_domains, m_interference,
                         m_clock.Now());
@@ -163,10 +181,9 @@
       return;
     }
     const TaskKey key{job.id(), ready.occurrence, ready.step, number};
-    const bool anywhere = idle && m_clock.Now() - job.accepted() >
-                                      m_settings.max_wait_for_full_speed;
     const auto host =
-        ChooseHost(index, PlacementRequest{job, key, step, task, anywhere});
+        ChooseHost(index, PlacementRequest{job, key, step, task,
+                                           idle && MayStartSlowed(index, job)});
     if (!host) {
       return;
     }
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -46,8 +46,12 @@
   /// An order is sent again if no report shows its effect within this time.
   Duration redelivery_delay{2000};
   /// Once a job has waited this long without a running task, its best-effort
-  /// tasks may be placed where they must be slowed down.
+  /// tasks may be placed where they must be slowed down, while less than
+  /// `max_reserved_to_start_slowed` of the service's capacity is reserved:
+  /// callers must not wait beside free hosts. On a busy site such a start only
+  /// makes the job late, as its slowest task decides.
   Duration max_wait_for_full_speed{1500};
+  double max_reserved_to_start_slowed = 0.6;
   /// Time from the middle of a latency measurement until the pace derived from
   /// it takes effect: a quarter of a second of measuring, the report, and the
   /// worker's delay.
--- a/packages/scheduling/tests/interference_model_test.cc
+++ b/packages/scheduling/tests/interference_model_test.cc
@@ -240,6 +240,27 @@
   LONGS_EQUAL(1, harness.HostsOf(batch).size());
 }
 
+// Replays a busy site: serving tasks near their peak reserve most of it, and a
+// job that was started there would be halted and be late.
+TEST(BestEffortPlacement, LongWaitingJobWaitsOnWhileTheSiteIsBusy) {
+  harness.AddHost("a", 4);
+  harness.AddJob("serving", Serving(1));
+  harness.RunRound();
+  Measure("a", 95);
+  const JobId batch = harness.AddJob("batch", BestEffort("batch", 2));
+  harness.clock().Advance(SchedulerSettings().max_wait_for_full_speed +
+                          Duration(1));
+  Measure("a", 95);
+  harness.RunRound();
+  LONGS_EQUAL(0, harness.HostsOf(batch).size());
+  // The peak is over.
+  for (int sample = 0; sample < 6; ++sample) {
+    Measure("a", 20);
+  }
+  harness.RunRound();
+  LONGS_EQUAL(1, harness.HostsOf(batch).size());
+}
+
 TEST(BestEffortPlacement, HaltedWorkMovesToHostWithSpareMargin) {
   harness.AddHost("a", 8);
   harness.AddJob("serving", Serving(1));
