Keep what is learned about interference for the next owner

After a power loss the new owner halts 20 to 40 harmless runs for some ten seconds and lets harmful ones run until it has measured them again. Ruled out: the agents as keepers, because an owner would hear of a pair only from the hosts that report first. Change: the owner writes the 400 pairs measured last, at most 20 KB every 4 s whatever the size of the site, under the condition of its epoch; a new owner reads the record beside the progress. Torn, foreign and out-of-range records are rejected or clamped; estimates lose certainty with the record's age.

--- a/packages/scheduling/interference_model.cc
+++ b/packages/scheduling/interference_model.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace zinniacart {
 namespace {
@@ -137,4 +138,30 @@
   return interference;
 }
 
+std::vector<LearnedPair> InterferenceModel::Newest(std::size_t limit,
+                                                   Instant now) const {
+  std::vector<std::pair<Instant, Pair>> order;
+  for (const auto& [pair, estimate] : m_estimates) {
+    order.emplace_back(estimate.at, pair);
+  }
+  std::sort(order.begin(), order.end(), std::greater<>());
+  order.resize(std::min(order.size(), limit));
+  std::vector<LearnedPair> newest;
+  for (const auto& [at, pair] : order) {
+    newest.push_back(LearnedPair{pair.first, pair.second,
+                                 Estimate(pair.first, pair.second, now)});
+  }
+  return newest;
+}
+
+void InterferenceModel::Restore(const LearnedPair& pair, Instant at) {
+  InterferenceEstimate interference = pair.interference;
+  interference.loss_per_core =
+      std::clamp(interference.loss_per_core, 0.0, m_settings.max_loss_per_core);
+  interference.deviation =
+      std::clamp(interference.deviation, 0.0, m_settings.max_deviation);
+  m_estimates[{pair.serving_image, pair.best_effort_image}] =
+      PairEstimate{interference, 0.0, at};
+}
+
 }  // namespace zinniacart
--- a/packages/scheduling/interference_model.h
+++ b/packages/scheduling/interference_model.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -63,6 +64,13 @@
   double deviation = 0;  ///< Standard deviation of `loss_per_core`.
 };
 
+/// What was learned about one pair of images.
+struct LearnedPair {
+  std::string serving_image;
+  std::string best_effort_image;
+  InterferenceEstimate interference;
+};
+
 /// Learns how much latency margin the serving tasks of one image lose for each
 /// core that best-effort work of another image uses on the same host. Images
 /// differ in the interference that they cause, and no job declares it.
@@ -101,6 +109,12 @@
                                 const std::string& best_effort_image,
                                 Instant now) const;
 
+  /// @returns the pairs that were measured last, newest first, at most `limit`.
+  std::vector<LearnedPair> Newest(std::size_t limit, Instant now) const;
+  /// Sets the estimate of a pair, clamped to the bounds of the settings.
+  /// @param at when it was valid.
+  void Restore(const LearnedPair& pair, Instant at);
+
   /// @returns the number of calls of `Estimate`, for tests of the cost of a
   /// placement round.
   std::uint64_t lookups() const { return m_lookups; }
--- /dev/null
+++ b/packages/scheduling/interference_record.cc
@@ -0,0 +1,54 @@
+#include "scheduling/interference_record.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace zinniacart {
+namespace {
+
+constexpr int kVersion = 1;
+
+}  // namespace
+
+std::string EncodeInterference(const InterferenceModel& model, Instant now) {
+  nlohmann::json pairs = nlohmann::json::array();
+  for (const LearnedPair& pair : model.Newest(kMaxRecordedPairs, now)) {
+    pairs.push_back({pair.serving_image, pair.best_effort_image,
+                     pair.interference.loss_per_core,
+                     pair.interference.deviation});
+  }
+  return nlohmann::json{{"version", kVersion}, {"pairs", std::move(pairs)}}
+      .dump();
+}
+
+Result<void> RestoreInterference(const std::string& bytes,
+                                 Duration age,
+                                 InterferenceModel& model,
+                                 Instant now) {
+  std::vector<LearnedPair> pairs;
+  try {
+    const nlohmann::json record = nlohmann::json::parse(bytes);
+    const int version = record.at("version").get<int>();
+    if (version != kVersion) {
+      return Fail(ErrorCode::kInvalidArgument,
+                  "interference record of version " + std::to_string(version) +
+                      " cannot be read");
+    }
+    for (const nlohmann::json& row : record.at("pairs")) {
+      pairs.push_back(LearnedPair{
+          row.at(0).get<std::string>(), row.at(1).get<std::string>(),
+          InterferenceEstimate{row.at(2).get<double>(),
+                               row.at(3).get<double>()}});
+    }
+  } catch (const nlohmann::json::exception& error) {
+    return Fail(
+        ErrorCode::kInvalidArgument,
+        std::string("interference record is malformed: ") + error.what());
+  }
+  for (const LearnedPair& pair : pairs) {
+    model.Restore(pair, now - std::max(age, Duration(0)));
+  }
+  return {};
+}
+
+}  // namespace zinniacart
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "scheduling/interference_record.h"
 #include "scheduling/placement.h"
 
 namespace zinniacart {
@@ -81,6 +82,12 @@
   return {};
 }
 
+Result<void> Scheduler::RestoreInterference(const std::string& bytes,
+                                            Duration age) {
+  return zinniacart::RestoreInterference(bytes, age, m_interference,
+                                         m_clock.Now());
+}
+
 void Scheduler::CancelJob(const JobId& id) {
   Job* job = FindJob(id);
   if (job == nullptr || !job->active()) {
--- /dev/null
+++ b/packages/scheduling/tests/interference_record_test.cc
@@ -0,0 +1,89 @@
+#include "scheduling/interference_record.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace zinniacart;
+
+TEST_GROUP(InterferenceRecord) {
+  InterferenceModel model;
+  InterferenceModel successor;
+  static constexpr Instant kNow{500000};
+
+  void setup() override {
+    model.Restore({"serving", "harmful", {0.4, 0.05}}, kNow);
+    model.Restore({"serving", "quiet", {0.01, 0.03}}, kNow);
+  }
+
+  double LossPerCore(const InterferenceModel& of, const std::string& image) {
+    return of.Estimate("serving", image, kNow).loss_per_core;
+  }
+};
+
+TEST(InterferenceRecord, SuccessorKnowsWhatWasLearned) {
+  CHECK(RestoreInterference(EncodeInterference(model, kNow), Duration(0),
+                            successor, kNow)
+            .has_value());
+  DOUBLES_EQUAL(0.4, LossPerCore(successor, "harmful"), 1e-9);
+  DOUBLES_EQUAL(0.01, LossPerCore(successor, "quiet"), 1e-9);
+}
+
+TEST(InterferenceRecord, OldRecordIsLessCertain) {
+  CHECK(RestoreInterference(EncodeInterference(model, kNow), Duration(60000),
+                            successor, kNow)
+            .has_value());
+  CHECK(successor.Estimate("serving", "quiet", kNow).deviation >
+        2 * model.Estimate("serving", "quiet", kNow).deviation);
+}
+
+// A clock of an entry that is behind must not make estimates certain.
+TEST(InterferenceRecord, RecordFromTheFutureIsTakenAsNew) {
+  CHECK(RestoreInterference(EncodeInterference(model, kNow), Duration(-60000),
+                            successor, kNow)
+            .has_value());
+  DOUBLES_EQUAL(0.03, successor.Estimate("serving", "quiet", kNow).deviation,
+                1e-9);
+}
+
+TEST(InterferenceRecord, TornRecordChangesNothing) {
+  const std::string whole = EncodeInterference(model, kNow);
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    const auto restored = RestoreInterference(whole.substr(0, size),
+                                              Duration(0), successor, kNow);
+    CHECK_FALSE(restored.has_value());
+    CHECK(restored.error().code == ErrorCode::kInvalidArgument);
+  }
+  for (const char* bytes :
+       {R"({"version":2,"pairs":[]})", R"({"version":1,"pairs":[["a"]]})",
+        R"({"version":1,"pairs":[["a","b","c",0.1]]})", "[]"}) {
+    CHECK_FALSE(
+        RestoreInterference(bytes, Duration(0), successor, kNow).has_value());
+  }
+  DOUBLES_EQUAL(InterferenceSettings().prior_loss_per_core,
+                LossPerCore(successor, "harmful"), 1e-9);
+}
+
+TEST(InterferenceRecord, KeepsTheNewestPairsWithinItsSize) {
+  for (int pair = 0; pair < 1000; ++pair) {
+    model.Restore({"serving", "image-" + std::to_string(pair), {0.3, 0.1}},
+                  Instant{1000 + pair});
+  }
+  const std::string record = EncodeInterference(model, kNow);
+  CHECK(record.size() < 40000);
+  CHECK(RestoreInterference(record, Duration(0), successor, kNow).has_value());
+  LONGS_EQUAL(kMaxRecordedPairs, successor.Newest(10000, kNow).size());
+  DOUBLES_EQUAL(0.4, LossPerCore(successor, "harmful"), 1e-9);
+  DOUBLES_EQUAL(InterferenceSettings().prior_loss_per_core,
+                LossPerCore(successor, "image-0"), 1e-9);
+}
+
+// A record may hold any numbers; none may make a pair immune to measurements.
+TEST(InterferenceRecord, ValuesOutOfRangeAreClamped) {
+  CHECK(RestoreInterference(
+            R"({"version":1,"pairs":[["serving","a",-3.0,99.0]]})", Duration(0),
+            successor, kNow)
+            .has_value());
+  const InterferenceSettings settings;
+  DOUBLES_EQUAL(0, LossPerCore(successor, "a"), 1e-9);
+  DOUBLES_EQUAL(settings.max_deviation,
+                successor.Estimate("serving", "a", kNow).deviation, 1e-9);
+}
--- /dev/null
+++ b/packages/site/interference_archive.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "site/store_port.h"
+
+namespace zinniacart {
+
+/// Keeps what the owner has learned about interference in the store, so that
+/// its successor need not measure each pair of images again. Losing a record
+/// costs some seconds of learning, so nothing waits for it and nothing is
+/// repeated: the next record follows after `kSaveInterval`.
+class InterferenceArchive final {
+ public:
+  InterferenceArchive(StorePort& store, const Clock& clock)
+      : m_store(store), m_clock(clock) {}
+
+  /// Reads the last record, once in a term.
+  /// @param term     the result is dropped if the term has ended meanwhile.
+  /// @param on_record receives the record and its age; not called if there is
+  ///                  none or the store cannot be read.
+  void Load(std::weak_ptr<int> term,
+            std::function<void(const std::string&, Duration)> on_record);
+
+  /// Writes a record if the last one was written long enough ago.
+  /// @param epoch_revision of the owner's epoch; a deposed owner's record is
+  ///                       rejected by the store.
+  /// @param encode         called only if a record is written.
+  void SaveIfDue(std::uint64_t epoch_revision,
+                 const std::function<std::string()>& encode);
+
+ private:
+  /// A record of 400 pairs takes 20 KB, so that it costs at most 5 KB/s.
+  static constexpr Duration kSaveInterval{4000};
+  static constexpr Duration kTimeout{900};
+
+  StorePort& m_store;
+  const Clock& m_clock;
+  Instant m_saved_at;
+};
+
+}  // namespace zinniacart
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "scheduling/interference_record.h"
 #include "site/entry_directory.h"
 #include "site/peer_paths.h"
 #include "site/store_keys.h"
@@ -53,6 +54,7 @@
       m_clock(clock),
       m_ownership(m_settings.self, m_settings.ownership, Duration(0), clock),
       m_scheduler(m_settings.scheduler, clock, LogDecisions()),
+      m_archive(store, clock),
       m_tick_timer(loop),
       m_round_timer(loop),
       m_store_retry(loop) {}
@@ -66,6 +68,9 @@
   if (m_loaded) {
     m_scheduler.OnTick();
     ScheduleRound();
+    m_archive.SaveIfDue(m_ownership.epoch_revision(), [this] {
+      return EncodeInterference(m_scheduler.interference(), m_clock.Now());
+    });
   }
   m_tick_timer.After(kTickInterval, [this] { Tick(); });
 }
@@ -215,6 +220,19 @@
   m_scheduler.Begin(m_ownership.epoch(), m_settings.self);
   m_write_in_flight = false;
   LoadProgress();
+  LoadInterference();
+}
+
+void Owner::LoadInterference() {
+  m_archive.Load(m_term, [this](const std::string& bytes, Duration age) {
+    const auto restored = m_scheduler.RestoreInterference(bytes, age);
+    if (!restored) {
+      return LogWarning("learned interference is not used; learning anew",
+                        {{"detail", restored.error().detail}});
+    }
+    LogInfo("learned interference loaded",
+            {{"epoch", m_ownership.epoch().value()}, {"age_ms", age.count()}});
+  });
 }
 
 void Owner::LoadProgress() {
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -11,6 +11,7 @@
 #include "scheduling/ownership.h"
 #include "scheduling/scheduler.h"
 #include "site/host_link.h"
+#include "site/interference_archive.h"
 #include "site/peer_clients.h"
 #include "site/prefix_follower.h"
 #include "site/store_port.h"
@@ -108,6 +109,8 @@
   /// Starts a term: the time from one gain of the ownership to its loss.
   void BeginTerm();
   void LoadProgress();
+  /// Takes over what the previous owner had learned about interference.
+  void LoadInterference();
   void OnWorkSnapshot(const StoreSnapshot& snapshot);
   void OnWorkEvent(const StoreEvent& event);
   void ApplyWorkItem(const StoreItem& item);
@@ -137,6 +140,7 @@
   const Clock& m_clock;
   Ownership m_ownership;
   Scheduler m_scheduler;
+  InterferenceArchive m_archive;
   /// Follows jobs, cancellations and hosts in the store during a term.
   std::unique_ptr<PrefixFollower> m_work;
   std::map<HostId, std::unique_ptr<HostLink>> m_links;
--- a/packages/site/store_keys.h
+++ b/packages/site/store_keys.h
@@ -19,6 +19,9 @@
 inline const std::string kCancelledPrefix = kWorkPrefix + "cancelled/";
 inline const std::string kHostPrefix = kWorkPrefix + "hosts/";
 
+/// What the owner has learned about interference, for its successor.
+inline const std::string kInterference = "zinniacart/learned/interference";
+
 /// Progress of each job, written by the owner alone.
 inline const std::string kProgressPrefix = "zinniacart/progress/";
 
