Prove the hand-over of learned interference with real processes

The record carries its own time, so the store's value is plain JSON, and is written only once something was learned. Tests: torn, foreign, future and out-of-range records; an owner whose term ended; the first record of a term follows the read; intervals; a killed entry whose successor loads what it had learned (stand-in workers now report tails and use).

--- a/packages/scheduling/interference_model.h
+++ b/packages/scheduling/interference_model.h
@@ -109,6 +109,8 @@
                                 const std::string& best_effort_image,
                                 Instant now) const;
 
+  /// @returns whether no pair has been measured.
+  bool empty() const { return m_estimates.empty(); }
   /// @returns the pairs that were measured last, newest first, at most `limit`.
   std::vector<LearnedPair> Newest(std::size_t limit, Instant now) const;
   /// Sets the estimate of a pair, clamped to the bounds of the settings.
--- a/packages/scheduling/interference_record.cc
+++ b/packages/scheduling/interference_record.cc
@@ -10,22 +10,27 @@
 
 }  // namespace
 
-std::string EncodeInterference(const InterferenceModel& model, Instant now) {
+std::string EncodeInterference(const InterferenceModel& model,
+                               Instant now,
+                               std::int64_t wall_ms) {
   nlohmann::json pairs = nlohmann::json::array();
   for (const LearnedPair& pair : model.Newest(kMaxRecordedPairs, now)) {
     pairs.push_back({pair.serving_image, pair.best_effort_image,
                      pair.interference.loss_per_core,
                      pair.interference.deviation});
   }
-  return nlohmann::json{{"version", kVersion}, {"pairs", std::move(pairs)}}
+  return nlohmann::json{{"version", kVersion},
+                        {"written_at_ms", wall_ms},
+                        {"pairs", std::move(pairs)}}
       .dump();
 }
 
 Result<void> RestoreInterference(const std::string& bytes,
-                                 Duration age,
                                  InterferenceModel& model,
-                                 Instant now) {
+                                 Instant now,
+                                 std::int64_t wall_ms) {
   std::vector<LearnedPair> pairs;
+  Duration age{0};
   try {
     const nlohmann::json record = nlohmann::json::parse(bytes);
     const int version = record.at("version").get<int>();
@@ -34,6 +39,8 @@
                   "interference record of version " + std::to_string(version) +
                       " cannot be read");
     }
+    age = Duration(std::max<std::int64_t>(
+        0, wall_ms - record.at("written_at_ms").get<std::int64_t>()));
     for (const nlohmann::json& row : record.at("pairs")) {
       pairs.push_back(LearnedPair{
           row.at(0).get<std::string>(), row.at(1).get<std::string>(),
@@ -46,7 +53,7 @@
         std::string("interference record is malformed: ") + error.what());
   }
   for (const LearnedPair& pair : pairs) {
-    model.Restore(pair, now - std::max(age, Duration(0)));
+    model.Restore(pair, now - age);
   }
   return {};
 }
--- a/packages/scheduling/interference_record.h
+++ b/packages/scheduling/interference_record.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "base/error.h"
@@ -15,16 +16,21 @@
 /// text that the owner stores for its successor. Without it, a new owner would
 /// halt harmless work and let harmful work run until it has measured each pair
 /// again.
-std::string EncodeInterference(const InterferenceModel& model, Instant now);
+/// @param wall_ms the wall clock, in milliseconds since 1970.
+std::string EncodeInterference(const InterferenceModel& model,
+                               Instant now,
+                               std::int64_t wall_ms);
 
-/// Adds the estimates of a record to `model`, in place of its own.
-/// @param bytes the output of `EncodeInterference`.
-/// @param age   time since it was encoded: estimates get less certain.
+/// Adds the estimates of a record to `model`, in place of its own. They have
+/// become less certain since the record was encoded. Wall clocks of entries may
+/// differ by seconds, which changes that only little.
+/// @param bytes   the output of `EncodeInterference`.
+/// @param wall_ms the wall clock, in milliseconds since 1970.
 /// @returns `kInvalidArgument` if `bytes` is malformed or of another version;
 ///          `model` is then unchanged.
 Result<void> RestoreInterference(const std::string& bytes,
-                                 Duration age,
                                  InterferenceModel& model,
-                                 Instant now);
+                                 Instant now,
+                                 std::int64_t wall_ms);
 
 }  // namespace zinniacart
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -82,10 +82,9 @@
   return {};
 }
 
-Result<void> Scheduler::RestoreInterference(const std::string& bytes,
-                                            Duration age) {
-  return zinniacart::RestoreInterference(bytes, age, m_interference,
-                                         m_clock.Now());
+Result<void> Scheduler::RestoreInterference(const std::string& bytes) {
+  return zinniacart::RestoreInterference(bytes, m_interference, m_clock.Now(),
+                                         WallClockMilliseconds());
 }
 
 void Scheduler::CancelJob(const JobId& id) {
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -141,7 +141,7 @@
   const InterferenceModel& interference() const { return m_interference; }
   /// Adds what an earlier owner had learned about interference.
   /// @returns the errors of `::RestoreInterference`.
-  Result<void> RestoreInterference(const std::string& bytes, Duration age);
+  Result<void> RestoreInterference(const std::string& bytes);
   Epoch epoch() const { return m_epoch; }
 
  private:
--- a/packages/site/interference_archive.cc
+++ b/packages/site/interference_archive.cc
@@ -1,6 +1,5 @@
 #include "site/interference_archive.h"
 
-#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -10,16 +9,13 @@
 namespace zinniacart {
 namespace {
 
-/// Separates the wall clock of the writing, in milliseconds, from the record.
-/// Clocks of entries may differ by seconds, which changes the deviations of the
-/// estimates only little.
-constexpr char kSeparator = ' ';
+constexpr Duration kTimeout{900};
 
 }  // namespace
 
 void InterferenceArchive::Load(
     std::weak_ptr<int> term,
-    std::function<void(const std::string&, Duration)> on_record) {
+    std::function<void(const std::string&)> on_record) {
   // The first record of the term must not replace the last one before that was
   // read.
   m_saved_at = m_clock.Now();
@@ -37,15 +33,7 @@
           }
           return;
         }
-        const std::size_t end = item->value.find(kSeparator);
-        if (end == std::string::npos) {
-          return LogWarning("learned interference has no time; learning anew",
-                            {{"bytes", item->value.size()}});
-        }
-        const std::int64_t written_at_ms =
-            std::strtoll(item->value.c_str(), nullptr, 10);
-        on_record(item->value.substr(end + 1),
-                  Duration(WallClockMilliseconds() - written_at_ms));
+        on_record(item->value);
       });
 }
 
@@ -59,10 +47,8 @@
   StoreTransaction transaction;
   transaction.conditions.push_back(
       StoreCondition{store_keys::kEpoch, epoch_revision});
-  transaction.writes.push_back(StoreWrite{
-      store_keys::kInterference,
-      std::to_string(WallClockMilliseconds()) + kSeparator + encode(),
-      {}});
+  transaction.writes.push_back(
+      StoreWrite{store_keys::kInterference, encode(), {}});
   m_store.Commit(transaction, kTimeout, [](const Result<StoreCommit>& commit) {
     if (!commit) {
       LogInfo("learned interference not saved; the next record follows",
--- a/packages/site/interference_archive.h
+++ b/packages/site/interference_archive.h
@@ -2,7 +2,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -16,15 +15,18 @@
 /// repeated: the next record follows after `kSaveInterval`.
 class InterferenceArchive final {
  public:
+  /// A record takes at most 20 KB, so that it costs at most 5 KB/s.
+  static constexpr Duration kSaveInterval{4000};
+
   InterferenceArchive(StorePort& store, const Clock& clock)
       : m_store(store), m_clock(clock) {}
 
   /// Reads the last record, once in a term.
   /// @param term     the result is dropped if the term has ended meanwhile.
-  /// @param on_record receives the record and its age; not called if there is
-  ///                  none or the store cannot be read.
+  /// @param on_record receives the record; not called if there is none or the
+  ///                  store cannot be read.
   void Load(std::weak_ptr<int> term,
-            std::function<void(const std::string&, Duration)> on_record);
+            std::function<void(const std::string&)> on_record);
 
   /// Writes a record if the last one was written long enough ago.
   /// @param epoch_revision of the owner's epoch; a deposed owner's record is
@@ -34,10 +36,6 @@
                  const std::function<std::string()>& encode);
 
  private:
-  /// A record of 400 pairs takes 20 KB, so that it costs at most 5 KB/s.
-  static constexpr Duration kSaveInterval{4000};
-  static constexpr Duration kTimeout{900};
-
   StorePort& m_store;
   const Clock& m_clock;
   Instant m_saved_at;
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -68,9 +68,7 @@
   if (m_loaded) {
     m_scheduler.OnTick();
     ScheduleRound();
-    m_archive.SaveIfDue(m_ownership.epoch_revision(), [this] {
-      return EncodeInterference(m_scheduler.interference(), m_clock.Now());
-    });
+    SaveInterference();
   }
   m_tick_timer.After(kTickInterval, [this] { Tick(); });
 }
@@ -224,14 +222,24 @@
 }
 
 void Owner::LoadInterference() {
-  m_archive.Load(m_term, [this](const std::string& bytes, Duration age) {
-    const auto restored = m_scheduler.RestoreInterference(bytes, age);
+  m_archive.Load(m_term, [this](const std::string& bytes) {
+    const auto restored = m_scheduler.RestoreInterference(bytes);
     if (!restored) {
       return LogWarning("learned interference is not used; learning anew",
                         {{"detail", restored.error().detail}});
     }
     LogInfo("learned interference loaded",
-            {{"epoch", m_ownership.epoch().value()}, {"age_ms", age.count()}});
+            {{"epoch", m_ownership.epoch().value()}});
+  });
+}
+
+void Owner::SaveInterference() {
+  if (m_scheduler.interference().empty()) {
+    return;
+  }
+  m_archive.SaveIfDue(m_ownership.epoch_revision(), [this] {
+    return EncodeInterference(m_scheduler.interference(), m_clock.Now(),
+                              WallClockMilliseconds());
   });
 }
 
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -111,6 +111,7 @@
   void LoadProgress();
   /// Takes over what the previous owner had learned about interference.
   void LoadInterference();
+  void SaveInterference();
   void OnWorkSnapshot(const StoreSnapshot& snapshot);
   void OnWorkEvent(const StoreEvent& event);
   void ApplyWorkItem(const StoreItem& item);
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -35,6 +35,7 @@
         self.draining = False
         self.log = []  # Every Run ever, over all incarnations.
         self.shapes = {}
+        self.measures = {}  # By job: the fifth entry of its rows in the list of runs.
         self.restart()
         threading.Thread(target=self._tick, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
@@ -99,7 +100,8 @@
             self.ends = [end for end in self.ends if end[0] > body["last_seen"]]
             while not self.ends and time.monotonic() < until:
                 self.changed.wait(until - time.monotonic())
-            rows = [[run.task, run.number, "", 100, 0] for run in self.running.values()]
+            rows = [[run.task, run.number, "", 100, self.measures.get(run.task.split(".")[0], 0)]
+                    for run in self.running.values()]
             return 200, {"running": rows, "ended": self.ends}
 
     def serve(self):
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -91,6 +91,23 @@
             for job in jobs:
                 self.assertEqual(5, len(self.completes(site, job, other)))
 
+    def test_a_new_owner_knows_what_was_learned_about_interference(self):
+        step = {"count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 200}
+        record = "zinniacart/learned/interference"
+        with PlatformSite(entries=3, hosts=1) as site:
+            serving = site.submit([dict(step, perpetual=True, image="front", target_ms=100)],
+                                  seconds=120)
+            batch = site.submit([dict(step, fills=True, image="batch")], seconds=120)
+            site.workers[0].measures = {serving: 40, batch: 500}
+            wait_for("the pair is learned and stored", lambda: site.store.value(record))
+            pairs = site.store.value(record)["pairs"]
+            self.assertEqual(["front", "batch"], pairs[0][:2])
+            owner = site.owner()
+            owner.kill()
+            wait_for("another entry owns", lambda: site.owner() not in (owner, None))
+            wait_for("it has loaded the record",
+                     lambda: "learned interference loaded" in site.owner().log_path.read_text())
+
     def test_a_stronger_entry_takes_over_and_a_weak_one_helps_out(self):
         with PlatformSite(entries=1, cpu_share=0.05) as site:
             weak = site.owner()
