--- a/packages/scheduling/host_pacing.h
+++ b/packages/scheduling/host_pacing.h
@@ -71,8 +71,10 @@
 /// Runs get their pace in ascending order of expected interference, each
 /// limited by the margin that is left. Where a tail latency stays over its
 /// target all the same, all runs but harmless ones are halted and resumed in
-/// steps. A run whose newest pace the measurements do not show
-/// yet may be slowed further, but not sped up.
+/// steps. A serving task may thus exceed its target for `halt_after`; otherwise
+/// jobs beside it would wait at every peak of its traffic. A run whose newest
+/// pace the measurements do not show yet may be slowed further, but not sped
+/// up.
 class HostPacing final {
  public:
   explicit HostPacing(PacingSettings settings = {}) : m_settings(settings) {}
--- a/packages/scheduling/interference_model.cc
+++ b/packages/scheduling/interference_model.cc
@@ -147,6 +147,7 @@
   std::sort(order.begin(), order.end(), std::greater<>());
   order.resize(std::min(order.size(), limit));
   std::vector<LearnedPair> newest;
+  newest.reserve(order.size());
   for (const auto& [at, pair] : order) {
     newest.push_back(LearnedPair{pair.first, pair.second,
                                  Estimate(pair.first, pair.second, now)});
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -132,6 +132,7 @@
     const HostedRun& run,
     const std::vector<std::string>& serving_images) const {
   std::vector<double> losses;
+  losses.reserve(serving_images.size());
   for (const std::string& image : serving_images) {
     losses.push_back(
         m_interference.Estimate(image, run.image, m_clock.Now()).loss_per_core);
