--- a/packages/scheduling/interference_model.h
+++ b/packages/scheduling/interference_model.h
@@ -15,7 +15,7 @@
 struct InterferenceSettings {
   /// Assumed of a pair of images before it is first measured: the loss of
   /// margin for each core of best-effort work, and its standard deviation. Most
-  /// pairs do not interfere, some lose up to half of a target for each core.
+  /// pairs do not interfere, and some take up to half of the target a core.
   double prior_loss_per_core = 0.08;
   double prior_deviation = 0.2;
   /// Standard deviation of the random drift of an estimate within one second,
--- a/packages/site/interference_archive.h
+++ b/packages/site/interference_archive.h
@@ -15,7 +15,8 @@
 /// repeated: the next record follows after `kSaveInterval`.
 class InterferenceArchive final {
  public:
-  /// A record takes at most 20 KB, so that it costs at most 5 KB/s.
+  /// A record takes 20 KB, and 50 KB with the longest names of images, so that
+  /// it costs 5 to 13 KB/s at most.
   static constexpr Duration kSaveInterval{4000};
 
   InterferenceArchive(StorePort& store, const Clock& clock)
