Give up a task that crashes the workers that start it

Cause: a run that vanishes with its worker was placed again as if the host had failed by itself. Nothing counted it, and nothing told the two apart.

Change: the agent knows which runs had not yet worked for 100 ms when the worker last answered, and names them when the next incarnation shows that the worker has crashed. The owner records the crash with each of these tasks, in their stored progress. A suspected task is tried on the host with least at stake; nothing else is started there until it has survived its start, which clears it. Two crashes on two hosts as the sole suspect, or one of three, end the job as failed; four in any case. Draining and unreachable workers blame nobody, and a host that crashes without a suspect lends no weight to its next crash.

Tests: TaskThatCrashesItsWorkersIsNotStartedWithoutEnd starts the task 10 times in 10 rounds on the code before, twice now.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -90,7 +90,11 @@
   if (m_incarnation == incarnation) {
     return;
   }
+  if (m_incarnation) {
+    RecordCrash(*m_incarnation);
+  }
   m_incarnation = incarnation;
+  m_trials.clear();
   m_starts.clear();
   m_stops.clear();
   m_paces.clear();
@@ -128,6 +132,8 @@
   }
   m_reachable = reachable;
   ApplyLists(call, *lists);
+  m_heard_at = m_clock.Now();
+  UpdateTrials();
   if (HasUnrecordedEnds()) {
     m_next_hold_at = m_clock.Now() + m_settings.retry_delay;
   }
@@ -195,14 +201,67 @@
         std::any_of(lists.ended.begin(), lists.ended.end(),
                     [&id = id](const EndedTask& end) { return end.id == id; });
     if (m_running.contains(id) || ended) {
+      if (ended) {
+        m_trials.erase(id);
+      }
       Resolve(start, OrderOutcome::kStarted);
     } else if (lists.clock.milliseconds >
                start.not_after.milliseconds + kDeadlineMarginMs) {
+      m_trials.erase(id);
       Resolve(start, OrderOutcome::kRefused);
     }
   }
 }
 
+void HostSupervisor::UpdateTrials() {
+  const Instant now = m_clock.Now();
+  for (auto entry = m_trials.begin(); entry != m_trials.end();) {
+    auto& [id, trial] = *entry;
+    const bool running = m_running.contains(id);
+    if (running) {
+      trial.shown_at = trial.shown_at.value_or(now);
+    }
+    const bool ended = !running && trial.shown_at;
+    const bool survived = running && now - *trial.shown_at >= m_settings.trial;
+    if (!ended && !survived) {
+      ++entry;
+      continue;
+    }
+    if (trial.suspected) {
+      CountChange();
+    }
+    entry = m_trials.erase(entry);
+  }
+}
+
+bool HostSupervisor::TrialDue() const {
+  return m_reachable &&
+         std::any_of(m_trials.begin(), m_trials.end(), [&](const auto& entry) {
+           const Trial& trial = entry.second;
+           return trial.suspected && trial.shown_at &&
+                  m_clock.Now() - *trial.shown_at >= m_settings.trial;
+         });
+}
+
+std::vector<TaskRun> HostSupervisor::UnprovenRuns() const {
+  std::vector<TaskRun> unproven;
+  for (const auto& [id, trial] : m_trials) {
+    if (!trial.shown_at || m_heard_at - *trial.shown_at < m_settings.trial) {
+      unproven.push_back(id);
+    }
+  }
+  return unproven;
+}
+
+void HostSupervisor::RecordCrash(const WorkerIncarnation& ended) {
+  const auto facts = m_facts.find(ended);
+  if (facts != m_facts.end() && facts->second.first.draining) {
+    return;
+  }
+  m_crash = WorkerCrash{ended, UnprovenRuns()};
+  m_crash_seen_at = m_clock.Now();
+}
+
 void HostSupervisor::Resolve(Start& start, OrderOutcome outcome) {
   start.phase = StartPhase::kResolved;
   start.outcome = outcome;
@@ -217,10 +276,15 @@
     return;
   }
   Start& start = found->second;
+  if (answer != StartAnswer::kStarted && answer != StartAnswer::kUnanswered) {
+    m_trials.erase(call.order.id);
+  }
   switch (answer) {
     case StartAnswer::kStarted:
+      m_heard_at = m_clock.Now();
       m_running[call.order.id] = ListedRun{
           RunningTask{call.order.id, call.order.resume_from, 0, 0}, ++m_events};
+      UpdateTrials();
       Resolve(start, OrderOutcome::kStarted);
       break;
     case StartAnswer::kNoRoom:
@@ -295,6 +359,7 @@
     // The worker extends the lease of all its runs to the deadline of a start.
     m_requested_lease_end = std::max(
         m_requested_lease_end, m_clock.Now() + m_settings.times.start_validity);
+    m_trials[id] = Trial{std::nullopt, start.order.trial};
     calls.emplace_back(
         StartCall{start.order, worker_id(), m_epoch, start.not_after});
   }
@@ -311,6 +376,10 @@
 }
 
 std::optional<HoldCall> HostSupervisor::NextHold() {
+  if (TrialDue() && m_clock.Now() >= m_next_trial_hold_at) {
+    m_urgent_hold = true;
+    m_next_trial_hold_at = m_clock.Now() + m_settings.retry_delay;
+  }
   const bool due =
       m_urgent_hold || (!m_hold_in_flight && m_clock.Now() >= m_next_hold_at);
   if (!due) {
@@ -390,6 +459,9 @@
     return entry.second.answered &&
            now - entry.second.answered_at > kResultRepeatPeriod;
   });
+  if (m_crash && now - m_crash_seen_at > kResultRepeatPeriod) {
+    m_crash.reset();
+  }
 }
 
 HostReport HostSupervisor::MakeReport() {
@@ -421,6 +493,8 @@
       report.ended.push_back(ended);
     }
   }
+  report.unproven = UnprovenRuns();
+  report.crash = m_crash;
   for (const auto& [id, start] : m_starts) {
     if (start.phase == StartPhase::kResolved) {
       report.results.push_back(OrderResult{id, start.outcome});
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -23,6 +23,9 @@
   /// Delay before the next hold where the last one failed, did not wait, or
   /// listed ends that the owner has not recorded yet.
   Duration retry_delay{150};
+  /// A run that has worked this long is not suspected of a later crash of its
+  /// worker: a task that crashes its workers does so when it starts.
+  Duration trial{100};
 };
 
 /// Controls the worker of one host for the host's agent; nothing else may call
@@ -110,6 +113,14 @@
   void ResolveUnanswered(const WorkerLists& lists);
   void Resolve(Start& start, OrderOutcome outcome);
   void ForgetOldResults();
+  /// Ends the trials of runs that have worked long enough or have ended.
+  void UpdateTrials();
+  /// @returns whether a run on trial is due to have its survival shown.
+  bool TrialDue() const;
+  /// @returns the runs that are not known to have survived the trial period.
+  std::vector<TaskRun> UnprovenRuns() const;
+  /// Records a crash unless the incarnation that has ended was draining.
+  void RecordCrash(const WorkerIncarnation& ended);
   /// @returns the hold that is due, if any.
   std::optional<HoldCall> NextHold();
   /// @returns the latest time on the worker's clock to which the owner's grant
@@ -163,6 +174,16 @@
   std::map<TaskRun, Stop> m_stops;
   std::map<TaskRun, Pace> m_paces;
   std::map<TaskRun, ListedRun> m_running;
+  struct Trial {
+    /// When it was first known to be at work; empty before.
+    std::optional<Instant> shown_at;
+    bool suspected = false;  ///< See `StartOrder::trial`.
+  };
+  std::map<TaskRun, Trial> m_trials;
+  Instant m_next_trial_hold_at;
+  Instant m_heard_at;  ///< The newest answer of the present incarnation.
+  std::optional<WorkerCrash> m_crash;
+  Instant m_crash_seen_at;
   std::vector<EndedTask> m_ended;
   std::uint64_t m_recorded_ends = 0;
   std::uint64_t m_sequence = 0;
--- a/packages/hosting/tests/host_supervisor_test.cc
+++ b/packages/hosting/tests/host_supervisor_test.cc
@@ -243,3 +243,56 @@
   CHECK_FALSE(report.worker_reachable);
   CHECK(report.lease_expired);
 }
+
+TEST(HostSupervisor, CrashNamesTheRunsThatHadJustBeenStarted) {
+  Attach();
+  OrderStart(MakeRun("proven", 1));
+  supervisor.OnStartAnswered(TakeStart(), StartAnswer::kStarted);
+  AdvanceClocks(settings.hold_wait);
+  lists.running = {RunningTask{MakeRun("proven", 1), {}, 0, 0}};
+  AnswerHolds();
+  LONGS_EQUAL(0, supervisor.MakeReport().unproven.size());
+  OrderStart(MakeRun("fresh", 1));
+  supervisor.OnStartAnswered(TakeStart(), StartAnswer::kStarted);
+  lists.running.push_back(RunningTask{MakeRun("fresh", 1), {}, 0, 0});
+  OrderStart(MakeRun("unanswered", 1));
+  supervisor.OnStartAnswered(TakeStart(), StartAnswer::kUnanswered);
+  LONGS_EQUAL(2, supervisor.MakeReport().unproven.size());
+  // Seconds later the worker is back.
+  AdvanceClocks(Duration(3000));
+  lists.incarnation = kNextIncarnation;
+  lists.running.clear();
+  AnswerHolds();
+  const HostReport report = supervisor.MakeReport();
+  CHECK(report.crash->incarnation == kIncarnation);
+  LONGS_EQUAL(2, report.crash->suspects.size());
+  CHECK(report.crash->suspects.at(0) == MakeRun("fresh", 1));
+  CHECK(report.crash->suspects.at(1) == MakeRun("unanswered", 1));
+  LONGS_EQUAL(0, report.unproven.size());
+}
+
+TEST(HostSupervisor, WorkerThatDrainedHasNotCrashed) {
+  WorkerFacts facts;
+  facts.incarnation = kIncarnation;
+  facts.draining = true;
+  supervisor.OnAnnouncement(facts, 1);
+  Attach();
+  lists.incarnation = kNextIncarnation;
+  AdvanceClocks(settings.hold_wait);
+  AnswerHolds();
+  CHECK_FALSE(supervisor.MakeReport().crash.has_value());
+}
+
+TEST(HostSupervisor, SurvivalOfASuspectIsReportedAtOnce) {
+  Attach();
+  orders.starts.push_back(
+      StartOrder{MakeRun("suspect", 1), "payload", {}, {}, true});
+  CHECK(SendOrders());
+  supervisor.OnStartAnswered(TakeStart(), StartAnswer::kStarted);
+  lists.running = {RunningTask{MakeRun("suspect", 1), {}, 0, 0}};
+  const auto changes = supervisor.change_count();
+  AdvanceClocks(settings.trial);
+  AnswerHolds();
+  CHECK(supervisor.change_count() > changes);
+  LONGS_EQUAL(0, supervisor.MakeReport().unproven.size());
+}
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -39,6 +39,11 @@
   bool started = false;    ///< The worker reported it as started.
   bool stopping = false;   ///< A stop may be sent.
   bool recovered = false;  ///< Read from the store; a former owner ordered it.
+  /// It has survived its start, see `HostReport::unproven`.
+  bool proven = false;
+  /// While it is unproven, until this time, nothing else is started beside it:
+  /// if the worker crashes, the run is the only suspect.
+  Instant trial_until;
   StartOrder order;
   /// Incarnation of the agent that received the newest order, and when.
   Incarnation delivered_to;
@@ -109,6 +114,14 @@
   std::uint32_t failures_in_row = 0;
   std::optional<Instant> quarantined_until;
 
+  /// The newest incarnation whose crash was handled.
+  WorkerIncarnation crashed;
+  /// When the host last crashed without a suspect, or the last suspect of a
+  /// crash was cleared: it may fail by itself.
+  std::optional<Instant> failed_by_itself_at;
+  /// The tasks that are still suspected of each crash.
+  std::map<WorkerIncarnation, std::set<TaskKey>> suspects;
+
   /// Orders are waiting to be sent.
   bool has_orders = false;
 
--- a/packages/scheduling/host_messages.h
+++ b/packages/scheduling/host_messages.h
@@ -59,6 +59,14 @@
   CheckpointId checkpoint;
 };
 
+/// A worker incarnation that ended without draining first.
+struct WorkerCrash {
+  WorkerIncarnation incarnation;
+  /// Runs that may have caused it: their starts were sent, and the worker is
+  /// not known to have run them for the trial period.
+  std::vector<TaskRun> suspects;
+};
+
 /// The result of an order to a worker.
 enum class OrderOutcome {
   kStarted,
@@ -79,6 +87,9 @@
   std::string payload;
   CheckpointId resume_from;
   std::string ticket;
+  /// The task is suspected of crashing workers: the agent reports as soon as
+  /// the run has survived the trial period.
+  bool trial = false;
 };
 
 /// Limits a run to a share of its full speed.
@@ -127,6 +138,11 @@
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
   std::vector<OrderResult> results;
+  /// Runs that may be at work but are not known to have survived the trial
+  /// period; unchanged while the worker is unreachable.
+  std::vector<TaskRun> unproven;
+  /// The previous incarnation, if it crashed; repeated for some seconds.
+  std::optional<WorkerCrash> crash;
 };
 
 }  // namespace zinniacart
--- a/packages/scheduling/host_messages_codec.cc
+++ b/packages/scheduling/host_messages_codec.cc
@@ -91,13 +91,17 @@
   if (!order.ticket.empty()) {
     row["ticket"] = order.ticket;
   }
+  if (order.trial) {
+    row["trial"] = true;
+  }
   return row;
 }
 
 StartOrder DecodeStart(const json& row) {
   return StartOrder{DecodeRun(row.at("run")), row.at("payload"),
                     CheckpointId(row.value("resume_from", std::string())),
-                    row.value("ticket", std::string())};
+                    row.value("ticket", std::string()),
+                    row.value("trial", false)};
 }
 
 template <typename Row, typename Encoder>
@@ -160,6 +164,15 @@
         return OrderResult{DecodeRun(result),
                            static_cast<OrderOutcome>(result.at(2).get<int>())};
       });
+  if (row.contains("unproven")) {
+    report.unproven = DecodeRows<TaskRun>(row["unproven"], DecodeRun);
+  }
+  if (row.contains("crash")) {
+    const json& crash = row["crash"];
+    report.crash = WorkerCrash{
+        WorkerIncarnation(crash.at("incarnation").get<std::int64_t>()),
+        DecodeRows<TaskRun>(crash.at("suspects"), DecodeRun)};
+  }
   return report;
 }
 
@@ -217,6 +230,14 @@
   if (report.facts) {
     row["facts"] = EncodeFacts(*report.facts);
   }
+  if (!report.unproven.empty()) {
+    row["unproven"] = EncodeRows(report.unproven, EncodeRun);
+  }
+  if (report.crash) {
+    row["crash"] = {
+        {"incarnation", report.crash->incarnation.value()},
+        {"suspects", EncodeRows(report.crash->suspects, EncodeRun)}};
+  }
   return row.dump();
 }
 
--- a/packages/scheduling/job.cc
+++ b/packages/scheduling/job.cc
@@ -18,6 +18,25 @@
          task.failures == 0;
 }
 
+json EncodeCrashes(const std::vector<SuspectedCrash>& crashes) {
+  json rows = json::array();
+  for (const SuspectedCrash& crash : crashes) {
+    rows.push_back(json::array(
+        {crash.host.value(), crash.incarnation.value(), crash.sole}));
+  }
+  return rows;
+}
+
+std::vector<SuspectedCrash> DecodeCrashes(const json& rows) {
+  std::vector<SuspectedCrash> crashes;
+  for (const json& row : rows) {
+    crashes.push_back(SuspectedCrash{
+        HostId(row.at(0).get<std::string>()),
+        WorkerIncarnation(row.at(1).get<std::int64_t>()), row.at(2)});
+  }
+  return crashes;
+}
+
 char PhaseMarkOf(const Task& task) {
   if (task.phase == TaskPhase::kDone) {
     return kDoneMark;
@@ -38,6 +57,9 @@
     row.push_back(task.placement.host.value());
     row.push_back(task.placement.incarnation.value());
   }
+  if (!task.crashes.empty()) {
+    row.push_back(EncodeCrashes(task.crashes));
+  }
   return row;
 }
 
@@ -57,6 +79,9 @@
         Placement{HostId(row.at(6).get<std::string>()),
                   WorkerIncarnation(row.at(7).get<std::int64_t>())};
   }
+  if (row.back().is_array()) {
+    task.crashes = DecodeCrashes(row.back());
+  }
   return task;
 }
 
@@ -183,6 +208,32 @@
   IncrementVersion();
 }
 
+void Job::Suspect(const TaskKey& key, const SuspectedCrash& crash) {
+  Task& task = *Find(key);
+  const bool known = std::any_of(
+      task.crashes.begin(), task.crashes.end(), [&](const auto& other) {
+        return other.host == crash.host &&
+               other.incarnation == crash.incarnation;
+      });
+  if (known || task.phase == TaskPhase::kDone) {
+    return;
+  }
+  task.crashes.push_back(crash);
+  IncrementVersion();
+  if (Judge(task.crashes) == CrashVerdict::kGuilty) {
+    MarkFailed();
+  }
+}
+
+void Job::ClearSuspicion(const TaskKey& key) {
+  Task& task = *Find(key);
+  task.vanished = false;
+  if (!task.crashes.empty()) {
+    task.crashes.clear();
+    IncrementVersion();
+  }
+}
+
 void Job::Cancel() {
   if (active()) {
     m_state = JobState::kCancelled;
@@ -241,12 +292,14 @@
 
 std::string Job::EncodeProgress() const {
   json tasks = json::array();
-  // Of a job that has ended, only the tasks that may still be running are kept.
+  // Of a job that has ended, only the tasks that may still be running are kept,
+  // and the crashes that explain its failure.
   for (std::size_t flat_index = 0; flat_index < m_steps.size(); ++flat_index) {
     const auto& step = m_steps[flat_index].tasks;
     for (std::size_t index = 0; index < step.size(); ++index) {
       const Task& task = step[index];
-      if (!IsInitial(task) && (active() || task.placed())) {
+      if (!IsInitial(task) &&
+          (active() || task.placed() || !task.crashes.empty())) {
         tasks.push_back(EncodeTask(flat_index, index, task));
       }
     }
--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -11,6 +11,7 @@
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/task_key.h"
+#include "scheduling/crash_verdict.h"
 #include "scheduling/host_messages.h"
 
 namespace zinniacart {
@@ -41,10 +42,18 @@
   /// occasion; not persisted.
   std::vector<HostId> failed_on;
   Instant placed_at;  ///< Not persisted.
+  /// The crashes that the task is suspected of, since a run last survived its
+  /// start.
+  std::vector<SuspectedCrash> crashes;
+  /// Its last run vanished with its host just after it was started: it may or
+  /// may not have been the cause. Not persisted.
+  bool vanished = false;
   /// The host to which the task is being moved; its next placement prefers it.
   /// Empty while no move is in progress; not persisted.
   HostId move_target;
 
+  /// @returns whether the next run must be watched apart from other suspects.
+  bool suspect() const { return vanished || !crashes.empty(); }
   bool placed() const {
     return phase == TaskPhase::kPlaced || phase == TaskPhase::kStopping;
   }
@@ -105,6 +114,11 @@
   void Finish(const TaskKey& key);
   /// Records the newest checkpoint of a task that keeps running.
   void SaveCheckpoint(const TaskKey& key, const CheckpointId& checkpoint);
+  /// Records a crash that the task is suspected of, unless it is recorded
+  /// already. Ends the job as failed if that makes the task guilty.
+  void Suspect(const TaskKey& key, const SuspectedCrash& crash);
+  /// A run of the task has survived its start: nothing is left of suspicions.
+  void ClearSuspicion(const TaskKey& key);
   /// Ends the job as cancelled.
   void Cancel();
   /// Ends the job as failed.
--- a/packages/scheduling/placement.cc
+++ b/packages/scheduling/placement.cc
@@ -30,6 +30,14 @@
 /// to take at most this share of their spare latency margin.
 constexpr double kMaxPressure = 0.9;
 
+/// Cost of trying a suspected task where other runs may crash the worker too:
+/// nothing could be told from a crash.
+constexpr double kUnprovenRunsCost = 200000.0;
+/// Cost of trying a suspected task on a host that may fail by itself.
+constexpr double kDoubtfulHostCost = 100000.0;
+/// Cost reduction of the host on which a task of the same job is on trial.
+constexpr double kSameTrialGain = 400000.0;
+
 /// Estimated interference of a best-effort task, by serving image.
 using PredictedInterference = std::vector<InterferenceEstimate>;
 
@@ -37,6 +45,7 @@
   const StepSpec& step = request.step;
   const Host& host = *capacity.host;
   return host.facts->service == request.job.policy().service &&
+         (!capacity.trial_job || *capacity.trial_job == request.job.id()) &&
          (request.rack.empty() || host.facts->rack == request.rack) &&
          (request.consolidating_from == HostId() ||
           (!capacity.serving.empty() &&
@@ -90,6 +99,24 @@
   return mixes ? kMixImagesCost : 0.0;
 }
 
+/// @returns the cost of trying a suspected task on the host, in addition to the
+/// host's other costs. A crash should interrupt little and show its cause.
+double TrialCost(const PlacementRequest& request,
+                 const HostCapacity& capacity) {
+  if (capacity.trial_job == request.job.id()) {
+    return -kSameTrialGain;
+  }
+  const Host& host = *capacity.host;
+  const auto& crashes = request.task.crashes;
+  const auto crashes_here =
+      std::count_if(crashes.begin(), crashes.end(),
+                    [&](const auto& crash) { return crash.host == host.id(); });
+  double cost = static_cast<double>(capacity.at_stake_millicores);
+  cost += capacity.unproven_runs > 0 ? kUnprovenRunsCost : 0.0;
+  cost += host.failed_by_itself_at ? kDoubtfulHostCost : 0.0;
+  return cost + kFailedBeforeCost * static_cast<double>(crashes_here);
+}
+
 /// @returns the cost of the host for the task, nothing if it does not fit.
 std::optional<double> CostAt(const PlacementRequest& request,
                              const PredictedInterference& predicted,
@@ -114,9 +141,15 @@
     }
     cost = *best_effort;
   } else {
-    cost = static_cast<double>(free.millicores - demand.millicores);
+    // A trial goes where little is at stake, which is the loosest fit.
+    cost = request.task.suspect()
+               ? 0.0
+               : static_cast<double>(free.millicores - demand.millicores);
     cost += step.serves() ? ServingCost(step, host) : 0.0;
   }
+  if (request.task.suspect()) {
+    cost += TrialCost(request, capacity);
+  }
   if (request.task.move_target == host.id()) {
     cost -= kMoveTargetGain;
   }
--- a/packages/scheduling/placement_index.cc
+++ b/packages/scheduling/placement_index.cc
@@ -42,7 +42,15 @@
   capacity.free = host.Free();
   capacity.idle_millicores = host.IdleMillicores();
   capacity.serving.clear();
+  capacity.trial_job.reset();
+  capacity.unproven_runs = 0;
+  capacity.at_stake_millicores = 0;
   for (const auto& [id, run] : host.runs) {
+    capacity.at_stake_millicores += run.demand.millicores;
+    capacity.unproven_runs += run.proven ? 0U : 1U;
+    if (!run.proven && m_now < run.trial_until) {
+      capacity.trial_job = id.task.job;
+    }
     if (!run.serves) {
       continue;
     }
--- a/packages/scheduling/placement_index.h
+++ b/packages/scheduling/placement_index.h
@@ -28,6 +28,10 @@
   Resources free;                      ///< Capacity not assigned to any run.
   std::int64_t idle_millicores = 0;    ///< Available to more best-effort work.
   std::vector<ServingMargin> serving;  ///< One element per image.
+  /// The job whose suspected task is on trial here; only its tasks may start.
+  std::optional<JobId> trial_job{};
+  std::size_t unproven_runs = 0;  ///< Runs that may yet crash the worker.
+  std::int64_t at_stake_millicores = 0;  ///< What a crash would interrupt.
 };
 
 /// Summaries of the usable hosts for one round of placement decisions. With a
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -168,6 +168,27 @@
   /// Decides what becomes of a run when the worker has restarted.
   /// @param listed whether the new worker incarnation lists the run.
   void ResolveRunOfOldIncarnation(Host& host, const TaskRun& id, bool listed);
+  /// @returns the crash that the report shows and that was not handled yet.
+  /// Must be called before the report is applied.
+  static std::optional<WorkerCrash> CrashShownBy(const Host& host,
+                                                 const HostReport& report);
+  /// Records which tasks are suspected of the crash. Gives up the jobs of those
+  /// that are guilty.
+  void HandleCrash(Host& host, const WorkerCrash& crash);
+  void SuspectOf(const WorkerCrash& crash,
+                 const TaskRun& id,
+                 Host& host,
+                 bool sole);
+  /// @returns whether the host has lately crashed and no task caused it.
+  bool IsDoubtful(const Host& host) const;
+  /// Removes the task from the suspects of all crashes. The hosts of crashes
+  /// without another suspect have failed by themselves.
+  void ClearSuspicion(Job& job, const TaskKey& key);
+  /// Its crashes may have had the task's run as their cause, although no crash
+  /// was seen.
+  void MarkVanished(const Host& host);
+  /// The run has survived its start.
+  void OnProven(const Host& host, const TaskRun& id, HostedRun& run);
   void HandleEnds(Host& host, const HostReport& report);
   void HandleRunning(Host& host, const HostReport& report);
   void MarkStarted(Host& host, HostedRun& run);
@@ -220,6 +241,9 @@
   void MoveHaltedRuns();
   void MoveHaltedRunsOf(Host& host, PlacementIndex& index);
   void Consolidate();
+  /// @returns whether a suspected task of the job may be tried now, or enough
+  /// hosts are on trials of other jobs.
+  bool MayTry(const PlacementIndex& index, const Job& job) const;
   PlacementIndex MakeIndex() const;
   void ObserveHeadroom();
   /// @returns whether enough capacity for finite tasks stays free after a
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -159,6 +159,20 @@
              static_cast<double>(capacity);
 }
 
+bool Scheduler::MayTry(const PlacementIndex& index, const Job& job) const {
+  std::size_t on_trial = 0;
+  for (const HostCapacity& capacity : index.usable_hosts()) {
+    if (capacity.trial_job == job.id()) {
+      return true;
+    }
+    on_trial += capacity.trial_job ? 1 : 0;
+  }
+  const auto most = static_cast<std::size_t>(
+      m_settings.max_hosts_on_trial *
+      static_cast<double>(index.usable_hosts().size()));
+  return on_trial < std::max<std::size_t>(1, most);
+}
+
 PlacementIndex Scheduler::MakeIndex() const {
   return PlacementIndex(m_hosts, m_drained_domains, m_interference,
                         m_clock.Now());
@@ -180,10 +194,16 @@
         !LeavesHeadroom(index, job, step)) {
       return;
     }
+    if (task.suspect() && !MayTry(index, job)) {
+      continue;
+    }
     const TaskKey key{job.id(), ready.occurrence, ready.step, number};
     const auto host =
         ChooseHost(index, PlacementRequest{job, key, step, task,
                                            idle && MayStartSlowed(index, job)});
+    if (!host && task.suspect()) {
+      continue;  // Other tasks of the step have more hosts to choose from.
+    }
     if (!host) {
       return;
     }
@@ -256,7 +276,11 @@
   run.order = StartOrder{TaskRun{key, number},
                          job.spec().payload,
                          step.checkpoints ? task.checkpoint : CheckpointId(),
-                         {}};
+                         {},
+                         task.suspect()};
+  if (task.suspect()) {
+    run.trial_until = m_clock.Now() + m_settings.max_trial;
+  }
   host.runs.emplace(TaskRun{key, number}, std::move(run));
   m_log({"run placed", TaskRun{key, number}, host.id(),
          std::to_string(step.demand.millicores) + " millicores" +
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -44,10 +44,14 @@
   if (report.agent == host.agent && report.sequence <= host.sequence) {
     return;
   }
+  const auto crash = CrashShownBy(host, report);
   AdoptAgent(host, report);
   if (!report.incarnation) {
     return;
   }
+  if (crash) {
+    HandleCrash(host, *crash);
+  }
   AdoptIncarnation(host, report);
   if (report.lease_expired) {
     ExpireRunsAtAgent(host);
@@ -143,6 +147,9 @@
     ObserveFinishedTask(host, run);
   }
   m_log({"run ended", ended.id, host.id(), ToString(ended.kind)});
+  if (ended.kind == EndKind::kDone || ended.kind == EndKind::kFailed) {
+    OnProven(host, ended.id, found->second);
+  }
   Job* job = FindJob(ended.id.task.job);
   if (job == nullptr || ended.kind != EndKind::kDone) {
     const bool failed = ended.kind == EndKind::kFailed;
@@ -253,6 +260,8 @@
   // An agent that has lost its worker repeats the worker's last list.
   const bool new_list = host.orphans_from_list != report.list_number;
   host.orphans_from_list = report.list_number;
+  const std::set<TaskRun> unproven(report.unproven.begin(),
+                                   report.unproven.end());
   for (const RunningTask& running : report.running) {
     const auto found = host.runs.find(running.id);
     if (found == host.runs.end()) {
@@ -275,6 +284,9 @@
     run.recovered = false;
     run.ordered = true;
     run.latest = running;
+    if (!unproven.contains(running.id)) {
+      OnProven(host, running.id, run);
+    }
   }
 }
 
@@ -305,6 +317,7 @@
 }
 
 void Scheduler::ExpireRunsAtAgent(Host& host) {
+  MarkVanished(host);
   const auto runs = host.runs;
   for (const auto& [id, run] : runs) {
     // The agent may still send a start that it holds as soon as the worker
@@ -319,6 +332,7 @@
 }
 
 void Scheduler::ExpireRuns(Host& host, const char* reason) {
+  MarkVanished(host);
   const auto runs = host.runs;
   for (const auto& [id, run] : runs) {
     DropRun(host, id, run.latest.checkpoint, false, reason);
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -80,6 +80,15 @@
   /// A quarantined host gets no new tasks for this long. The first failure
   /// afterwards quarantines it again.
   Duration quarantine{4000};
+  /// While the run of a task that is suspected of crashing workers is unproven,
+  /// its host gets no other new tasks, but not for longer than this: the agent
+  /// shows within half a second whether it has survived.
+  Duration max_trial{2000};
+  /// At most this share of the hosts, and one at least, is on such trials.
+  double max_hosts_on_trial = 0.34;
+  /// For this long after a crash that no task caused, no task is the sole
+  /// suspect of the host's next crash.
+  Duration host_doubt{10000};
   /// A scheduled occurrence starts this long after its due time, so that a
   /// clock that is ahead does not start it early.
   Duration occurrence_delay{50};
--- /dev/null
+++ b/packages/scheduling/tests/crash_test.cc
@@ -0,0 +1,239 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <set>
+
+#include "scheduling/crash_verdict.h"
+#include "scheduling/host_messages_codec.h"
+#include "scheduling/scheduler.h"
+#include "scheduling/tests/scheduler_harness.h"
+
+using namespace zinniacart;
+
+namespace {
+
+/// Two workers prove a task guilty, and the third one shows that it was not the
+/// company it was in.
+constexpr int kMostCrashes = 3;
+
+SuspectedCrash Sole(const std::string& host, std::int64_t incarnation = 1000) {
+  return SuspectedCrash{HostId(host), WorkerIncarnation(incarnation), true};
+}
+
+SuspectedCrash Shared(const std::string& host) {
+  return SuspectedCrash{HostId(host), WorkerIncarnation(1000), false};
+}
+
+}  // namespace
+
+TEST_GROUP(Crash) {
+  SchedulerHarness harness;
+
+  void setup() override {
+    for (const char* host : {"a", "b", "c", "d"}) {
+      harness.AddHost(host, 8);
+    }
+  }
+
+  const Task& TaskOf(const JobId& job, std::uint32_t index = 0) {
+    return harness.scheduler().jobs().at(job)->At(0, 0).tasks.at(index);
+  }
+
+  /// @returns the host on which the only run of the job is.
+  std::string HostOf(const JobId& job) {
+    const auto hosts = harness.HostsOf(job);
+    LONGS_EQUAL(1, hosts.size());
+    return hosts.front();
+  }
+
+  /// Lets all hosts run on but the one of `job`, whose worker crashes.
+  void CrashUnder(const JobId& job) {
+    const std::string host = HostOf(job);
+    harness.Crash(host);
+    for (const char* other : {"a", "b", "c", "d"}) {
+      if (other != host) {
+        harness.Survive(other);
+      }
+    }
+  }
+};
+
+TEST(Crash, TaskThatCrashesItsWorkersIsNotStartedWithoutEnd) {
+  // Worker and agent of each host vanish together, so that only the owner can
+  // know what had just been started.
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  int starts = 0;
+  for (int round = 0; round < 10; ++round) {
+    harness.RunUnprovenRound();
+    const auto hosts = harness.HostsOf(job);
+    if (hosts.empty()) {
+      break;
+    }
+    ++starts;
+    harness.report(hosts.front()).agent = Incarnation(10 + round);
+    harness.Restart(hosts.front());
+    harness.clock().Advance(Duration(4000));
+  }
+  LONGS_EQUAL(2, starts);
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(job) == JobState::kFailed);
+}
+
+TEST(Crash, TaskBesideACrashingOneIsNotGivenUp) {
+  const JobId guilty = harness.AddJob("guilty", MakeStep(1, 1000));
+  const JobId sound = harness.AddJob("sound", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  STRCMP_EQUAL(HostOf(guilty).c_str(), HostOf(sound).c_str());
+  int crashes = 0;
+  while (!harness.HostsOf(guilty).empty() && crashes < 10) {
+    CrashUnder(guilty);
+    ++crashes;
+    harness.RunUnprovenRound();
+    // Apart from each other, each suspect answers for itself.
+    for (const std::string& host : harness.HostsOf(sound)) {
+      CHECK(harness.HostsOf(guilty).empty() || HostOf(guilty) != host);
+    }
+  }
+  LONGS_EQUAL(kMostCrashes, crashes);
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(guilty) == JobState::kFailed);
+  harness.RunUnprovenRound();
+  harness.Survive(HostOf(sound));
+  CHECK_FALSE(TaskOf(sound).suspect());
+  harness.End(HostOf(sound), MakeRun(sound, 0, TaskOf(sound).run.value()),
+              EndKind::kDone);
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(sound) == JobState::kCompleted);
+}
+
+TEST(Crash, HostThatFailsByItselfLeavesNoSuspectsAmongProvenRuns) {
+  const JobId job = harness.AddJob("job", MakeStep(3, 1000));
+  harness.RunUnprovenRound();
+  const std::string host = harness.HostsOf(job).front();
+  harness.Survive(host);
+  harness.Crash(host);
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    CHECK_FALSE(TaskOf(job, index).suspect());
+  }
+}
+
+TEST(Crash, NoTaskIsTheSoleSuspectWhereAHostHasJustFailedByItself) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  const std::string host = HostOf(job);
+  harness.Survive(host);
+  harness.Crash(host);
+  harness.RunUnprovenRound();
+  STRCMP_EQUAL(host.c_str(), HostOf(job).c_str());
+  harness.Crash(host);
+  LONGS_EQUAL(1, TaskOf(job).crashes.size());
+  CHECK_FALSE(TaskOf(job).crashes.front().sole);
+}
+
+TEST(Crash, WorkerThatDrainsOrIsCutOffBlamesNobody) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  const std::string drained = HostOf(job);
+  harness.report(drained).facts->draining = true;
+  harness.Report(drained);
+  harness.Restart(drained);
+  CHECK_FALSE(TaskOf(job).suspect());
+
+  harness.report(drained).facts->draining = false;
+  harness.RunUnprovenRound();
+  const std::string cut_off = HostOf(job);
+  harness.report(cut_off).worker_reachable = false;
+  harness.report(cut_off).lease_expired = true;
+  harness.Report(cut_off);
+  LONGS_EQUAL(0, TaskOf(job).crashes.size());
+}
+
+TEST(Crash, NextOwnerKnowsWhatItsPredecessorSuspected) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  const std::string first = HostOf(job);
+  CrashUnder(job);
+  harness.RunUnprovenRound();
+  const std::string second = HostOf(job);
+  CHECK(first != second);
+  harness.TakeOver(2);
+  LONGS_EQUAL(1, TaskOf(job).crashes.size());
+  // The crash happened before the new owner heard of the host.
+  harness.Crash(second);
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(job) == JobState::kFailed);
+  harness.TakeOver(3);
+  CHECK(harness.scheduler().StateOf(job) == JobState::kFailed);
+  LONGS_EQUAL(2, TaskOf(job).crashes.size());
+}
+
+TEST(Crash, RepeatedReportOfACrashCountsOnce) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  const std::string host = HostOf(job);
+  harness.Crash(host);
+  harness.Report(host);
+  harness.Write();
+  harness.TakeOver(2);
+  harness.Report(host);
+  LONGS_EQUAL(1, TaskOf(job).crashes.size());
+}
+
+TEST(Crash, NothingIsStartedBesideATrialAndSurvivingItClears) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  CrashUnder(job);
+  harness.RunUnprovenRound();
+  const std::string host = HostOf(job);
+  const JobId others = harness.AddJob("others", MakeStep(40, 1000));
+  harness.RunUnprovenRound();
+  const auto hosts = harness.HostsOf(others);
+  CHECK(std::find(hosts.begin(), hosts.end(), host) == hosts.end());
+  harness.Survive(host);
+  CHECK_FALSE(TaskOf(job).suspect());
+  harness.RunUnprovenRound();
+  const auto then = harness.HostsOf(others);
+  CHECK(std::find(then.begin(), then.end(), host) != then.end());
+}
+
+TEST(Crash, TrialThatIsNeverReportedReleasesItsHost) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  CrashUnder(job);
+  harness.RunUnprovenRound();
+  const std::string host = HostOf(job);
+  harness.clock().Advance(SchedulerSettings().max_trial);
+  for (const char* other : {"a", "b", "c", "d"}) {
+    harness.Report(other);
+  }
+  const JobId others = harness.AddJob("others", MakeStep(31, 1000));
+  harness.RunUnprovenRound();
+  const auto hosts = harness.HostsOf(others);
+  CHECK(std::find(hosts.begin(), hosts.end(), host) != hosts.end());
+}
+
+TEST(Crash, TwoHostsProveATaskGuiltyAndOneHostDoesNot) {
+  CHECK(Judge({}) == CrashVerdict::kClear);
+  CHECK(Judge({Sole("a")}) == CrashVerdict::kSuspect);
+  CHECK(Judge({Sole("a"), Sole("a", 2000)}) == CrashVerdict::kSuspect);
+  CHECK(Judge({Sole("a"), Sole("b")}) == CrashVerdict::kGuilty);
+  CHECK(Judge({Shared("a"), Shared("b"), Shared("c")}) ==
+        CrashVerdict::kSuspect);
+  CHECK(Judge({Shared("a"), Shared("b"), Sole("c")}) == CrashVerdict::kGuilty);
+  CHECK(Judge({Shared("a"), Shared("b"), Shared("c"), Shared("d")}) ==
+        CrashVerdict::kGuilty);
+}
+
+TEST(Crash, ReportAndOrdersKeepTheirTrialsOnTheWire) {
+  HostReport report;
+  report.unproven = {MakeRun(JobId("0123456789abcdef"), 2, 3)};
+  report.crash = WorkerCrash{WorkerIncarnation(1000), report.unproven};
+  const auto decoded = DecodeHostReport(Encode(report));
+  CHECK(decoded->unproven == report.unproven);
+  CHECK(decoded->crash->incarnation == WorkerIncarnation(1000));
+  CHECK(decoded->crash->suspects == report.unproven);
+  HostOrders orders;
+  orders.starts = {
+      StartOrder{report.unproven.front(), "payload", {}, {}, true}};
+  CHECK(DecodeHostOrders(Encode(orders))->starts.front().trial);
+}
--- a/packages/scheduling/tests/scheduler_harness.h
+++ b/packages/scheduling/tests/scheduler_harness.h
@@ -114,6 +114,46 @@
     }
   }
 
+  /// Places tasks as `RunRound` does. The runs that begin stay unproven until
+  /// `Survive`.
+  void RunUnprovenRound() {
+    m_scheduler.Place();
+    Write();
+    for (auto& [name, report] : m_reports) {
+      for (const StartOrder& start : Orders(name).starts) {
+        report.running.push_back(RunningTask{start.id, {}, 0, 0});
+        report.unproven.push_back(start.id);
+      }
+      Report(name);
+    }
+  }
+
+  /// Reports that all runs of the host have survived their start.
+  void Survive(const std::string& host) {
+    m_reports.at(host).unproven.clear();
+    Report(host);
+  }
+
+  /// The host's worker crashes and is back at once, without runs. Its agent
+  /// tells which runs were unproven.
+  void Crash(const std::string& host) {
+    HostReport& report = m_reports.at(host);
+    report.crash = WorkerCrash{*report.incarnation, report.unproven};
+    Restart(host);
+  }
+
+  /// The host's worker is replaced by its next incarnation, without runs.
+  void Restart(const std::string& host) {
+    HostReport& report = m_reports.at(host);
+    report.incarnation = report.incarnation->Next();
+    report.facts->incarnation = *report.incarnation;
+    report.running.clear();
+    report.unproven.clear();
+    report.ended.clear();
+    m_ends[host] = 0;
+    Report(host);
+  }
+
   /// Reports that the host's worker has ended the run.
   void End(const std::string& host,
            const TaskRun& id,
@@ -122,6 +162,7 @@
     HostReport& report = m_reports.at(host);
     std::erase_if(report.running,
                   [&](const RunningTask& task) { return task.id == id; });
+    std::erase(report.unproven, id);
     report.ended.push_back(
         EndedTask{++m_ends[host], id, how, CheckpointId(checkpoint)});
     Report(host);
