Start no run elsewhere that may have crashed its silent host

Cause: two ways to start a step's tasks twice at a time act before anyone can know that the worker has crashed. A host that is unreachable has its tasks duplicated within 0.1 s; and an agent that has lost its worker repeats the last list, in which the tasks stand still, so that the host was judged unhealthy after 2.7 s and its tasks were moved. Either start crashed the next host, and only the newest run was ever suspected.

Change: a run that is unproven on a host whose worker is unreachable is not duplicated until it is known what became of it; hosts are judged by new lists only. Runs recovered by a new owner are duplicated as before.

Without the change RunThatMayHaveCrashedItsHostIsNotDuplicated finds 2 runs in place of 1, and HostIsNotJudgedByTheListThatItsAgentRepeats an unhealthy host.

--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -179,6 +179,10 @@
                  const TaskRun& id,
                  Host& host,
                  bool sole);
+  /// @returns whether the host may be unresponsive because of the run, which
+  /// had just been started. It must not be started elsewhere before that is
+  /// known.
+  static bool MayHaveCrashed(const Host& host, const HostedRun& run);
   /// @returns whether the host has lately crashed and no task caused it.
   bool IsDoubtful(const Host& host) const;
   /// Removes the task from the suspects of all crashes. The hosts of crashes
--- a/packages/scheduling/scheduler_crashes.cc
+++ b/packages/scheduling/scheduler_crashes.cc
@@ -74,6 +74,10 @@
   }
 }
 
+bool Scheduler::MayHaveCrashed(const Host& host, const HostedRun& run) {
+  return !host.reachable && run.ordered && !run.proven && !run.recovered;
+}
+
 bool Scheduler::IsDoubtful(const Host& host) const {
   return host.failed_by_itself_at &&
          m_clock.Now() - *host.failed_by_itself_at < m_settings.host_doubt;
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -128,7 +128,8 @@
                         HostedRun& run) {
   host.OrderStop(run);
   Task& task = *job.Find(key);
-  if (!job.active() || !job.spec().steps[key.step].speculative) {
+  if (!job.active() || !job.spec().steps[key.step].speculative ||
+      MayHaveCrashed(host, run)) {
     task.phase = TaskPhase::kStopping;
     return;
   }
@@ -164,6 +165,7 @@
     for (auto& [id, run] : host.runs) {
       Job* job = FindJob(id.task.job);
       if (job == nullptr || !job->active() || run.stopping ||
+          MayHaveCrashed(host, run) ||
           !job->spec().steps[id.task.step].speculative) {
         continue;
       }
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -65,7 +65,11 @@
   HandleRunning(host, report);
   HandleAbsent(host, report);
   AdvanceRecordedEnds(host);
-  UpdateHealth(host);
+  if (host.reachable) {
+    // An agent that has lost its worker repeats the last list, in which tasks
+    // only seem to stand still.
+    UpdateHealth(host);
+  }
   UpdatePacing(host, report.list_number);
 }
 
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -237,3 +237,50 @@
       StartOrder{report.unproven.front(), "payload", {}, {}, true}};
   CHECK(DecodeHostOrders(Encode(orders))->starts.front().trial);
 }
+
+TEST(Crash, RunThatMayHaveCrashedItsHostIsNotDuplicated) {
+  StepSpec step = MakeStep(1, 1000);
+  step.speculative = true;
+  const JobId job = harness.AddJob("job", step);
+  harness.RunUnprovenRound();
+  const std::string host = HostOf(job);
+  harness.report(host).worker_reachable = false;
+  harness.Report(host);
+  harness.scheduler().OnTick();
+  harness.RunUnprovenRound();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+  // The worker is back and the run has survived: it may be duplicated when the
+  // host falls silent again.
+  harness.report(host).worker_reachable = true;
+  harness.Survive(host);
+  harness.report(host).worker_reachable = false;
+  harness.Report(host);
+  harness.scheduler().OnTick();
+  harness.RunUnprovenRound();
+  LONGS_EQUAL(2, harness.HostsOf(job).size());
+}
+
+TEST(Crash, HostIsNotJudgedByTheListThatItsAgentRepeats) {
+  StepSpec step = MakeStep(16, 1000);
+  step.estimate = Duration(4000);
+  step.speculative = true;
+  const JobId job = harness.AddJob("job", step);
+  harness.RunUnprovenRound();
+  const std::string silent = harness.HostsOf(job).front();
+  const std::string other = harness.HostsOf(job).back();
+  CHECK(silent != other);
+  harness.Survive(other);
+  harness.report(silent).worker_reachable = false;
+  for (int progress = 5; progress < 75; progress += 5) {
+    harness.clock().Advance(Duration(200));
+    for (RunningTask& task : harness.report(other).running) {
+      task.progress_percent = progress;
+    }
+    harness.Report(other);
+    harness.Report(silent);
+  }
+  CHECK_FALSE(
+      harness.scheduler().hosts().at(HostId(silent)).health.unhealthy());
+  harness.RunUnprovenRound();
+  LONGS_EQUAL(16, harness.HostsOf(job).size());
+}
