Convict by elimination once the other suspects of a crash are cleared

What callers saw: a task that crashes its workers cost three workers where two would do, as the first crash mostly had suspects of several jobs.

Cause: a crash with several suspects stayed shared although the others were cleared by surviving their next start seconds later.

Change: when all suspects that are left of a crash belong to one job, they become its sole suspects, unless the host has failed by itself lately.

LastSuspectThatIsLeftCountsAsTheSoleOne was not run on the code before: it asks for the flag that this change sets.

--- a/packages/scheduling/job.cc
+++ b/packages/scheduling/job.cc
@@ -220,8 +220,16 @@
   }
   task.crashes.push_back(crash);
   IncrementVersion();
-  if (Judge(task.crashes) == CrashVerdict::kGuilty) {
-    MarkFailed();
+}
+
+void Job::BecomeSoleSuspect(const TaskKey& key,
+                            const HostId& host,
+                            const WorkerIncarnation& incarnation) {
+  for (SuspectedCrash& crash : Find(key)->crashes) {
+    if (crash.host == host && crash.incarnation == incarnation) {
+      crash.sole = true;
+      IncrementVersion();
+    }
   }
 }
 
--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -115,8 +115,12 @@
   /// Records the newest checkpoint of a task that keeps running.
   void SaveCheckpoint(const TaskKey& key, const CheckpointId& checkpoint);
   /// Records a crash that the task is suspected of, unless it is recorded
-  /// already. Ends the job as failed if that makes the task guilty.
+  /// already.
   void Suspect(const TaskKey& key, const SuspectedCrash& crash);
+  /// The other suspects of a recorded crash have been cleared.
+  void BecomeSoleSuspect(const TaskKey& key,
+                         const HostId& host,
+                         const WorkerIncarnation& incarnation);
   /// A run of the task has survived its start: nothing is left of suspicions.
   void ClearSuspicion(const TaskKey& key);
   /// Ends the job as cancelled.
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -188,6 +188,11 @@
   /// Removes the task from the suspects of all crashes. The hosts of crashes
   /// without another suspect have failed by themselves.
   void ClearSuspicion(Job& job, const TaskKey& key);
+  /// If all tasks that are still suspected of the crash belong to one job, they
+  /// are its sole suspects from now on.
+  void NarrowSuspects(const Host& host, const WorkerIncarnation& crashed);
+  /// Ends the job as failed if the task of the run is guilty.
+  void GiveUpIfGuilty(Job& job, const TaskRun& id, const Host& host);
   /// Its crashes may have had the task's run as their cause, although no crash
   /// was seen.
   void MarkVanished(const Host& host);
--- a/packages/scheduling/scheduler_crashes.cc
+++ b/packages/scheduling/scheduler_crashes.cc
@@ -66,12 +66,7 @@
   host.suspects[crash.incarnation].insert(id.task);
   m_log({"task suspected of crashing its worker", id, host.id(),
          Describe(task->crashes)});
-  if (!job->active()) {
-    m_log({"job failed", id, host.id(),
-           "the task crashes the workers that start it: " +
-               Describe(task->crashes)});
-    StopTasksOf(*job);
-  }
+  GiveUpIfGuilty(*job, id, host);
 }
 
 bool Scheduler::MayHaveCrashed(const Host& host, const HostedRun& run) {
@@ -90,16 +85,53 @@
       continue;
     }
     const auto suspects = host->second.suspects.find(crash.incarnation);
-    if (suspects != host->second.suspects.end() &&
-        suspects->second.erase(key) > 0 && suspects->second.empty()) {
+    if (suspects == host->second.suspects.end() ||
+        suspects->second.erase(key) == 0) {
+      continue;
+    }
+    if (suspects->second.empty()) {
       host->second.suspects.erase(suspects);
       host->second.failed_by_itself_at = m_clock.Now();
+    } else if (!IsDoubtful(host->second)) {
+      NarrowSuspects(host->second, crash.incarnation);
     }
   }
   job.ClearSuspicion(key);
   MarkCheckpointDirty(job);
 }
 
+void Scheduler::NarrowSuspects(const Host& host,
+                               const WorkerIncarnation& crashed) {
+  const std::set<TaskKey>& left = host.suspects.at(crashed);
+  if (left.begin()->job != left.rbegin()->job) {
+    return;
+  }
+  Job* job = FindJob(left.begin()->job);
+  if (job == nullptr || !job->active()) {
+    return;
+  }
+  for (const TaskKey& key : left) {
+    job->BecomeSoleSuspect(key, host.id(), crashed);
+    const TaskRun newest{key, job->Find(key)->run};
+    m_log({"task is the only suspect left of a crash", newest, host.id(),
+           Describe(job->Find(key)->crashes)});
+    GiveUpIfGuilty(*job, newest, host);
+  }
+  MarkDirty(*job);
+}
+
+void Scheduler::GiveUpIfGuilty(Job& job, const TaskRun& id, const Host& host) {
+  const Task& task = *job.Find(id.task);
+  if (!job.active() || Judge(task.crashes) != CrashVerdict::kGuilty) {
+    return;
+  }
+  job.MarkFailed();
+  m_log({"job failed", id, host.id(),
+         "the task crashes the workers that start it: " +
+             Describe(task.crashes)});
+  StopTasksOf(job);
+}
+
 void Scheduler::MarkVanished(const Host& host) {
   for (const auto& [id, run] : host.runs) {
     Job* job = FindJob(id.task.job);
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -284,3 +284,22 @@
   harness.RunUnprovenRound();
   LONGS_EQUAL(16, harness.HostsOf(job).size());
 }
+
+TEST(Crash, LastSuspectThatIsLeftCountsAsTheSoleOne) {
+  const JobId guilty = harness.AddJob("guilty", MakeStep(1, 1000));
+  const JobId sound = harness.AddJob("sound", MakeStep(1, 1000));
+  for (const char* host : {"e", "f"}) {
+    harness.AddHost(host, 8);
+  }
+  harness.RunUnprovenRound();
+  CrashUnder(guilty);
+  CHECK_FALSE(TaskOf(guilty).crashes.front().sole);
+  harness.RunUnprovenRound();
+  CHECK(HostOf(guilty) != HostOf(sound));
+  harness.Survive(HostOf(sound));
+  CHECK(TaskOf(guilty).crashes.front().sole);
+  CHECK_FALSE(TaskOf(sound).suspect());
+  harness.Crash(HostOf(guilty));
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(guilty) == JobState::kFailed);
+}
