Count orphaned runs against their host's capacity

What callers would see: a worker that does not guard its capacity is brought over it by a start, as what is being stopped still takes it up.

Cause: a run that the worker lists and no owner placed there is ordered to stop, but its demand was left out of the sum of what the host carries.

Evidence: found by reading, looking for ways to exceed a capacity; OrphanedRunsTakeUpCapacityUntilTheyHaveEnded places a run beside it on the code before.

--- a/packages/scheduling/host.cc
+++ b/packages/scheduling/host.cc
@@ -22,13 +22,9 @@
   if (!facts) {
     return {};
   }
-  Resources free = facts->capacity;
+  Resources free = facts->capacity - orphan_demand;
   for (const auto& [id, run] : runs) {
-    Resources taken = run.demand;
-    if (run.best_effort) {
-      taken.millicores = 0;
-    }
-    free -= taken;
+    free -= run.ReservedDemand();
   }
   return free;
 }
@@ -90,6 +86,14 @@
       }));
 }
 
+Resources HostedRun::ReservedDemand() const {
+  Resources reserved = demand;
+  if (best_effort) {
+    reserved.millicores = 0;
+  }
+  return reserved;
+}
+
 std::optional<double> HostedRun::margin() const {
   if (!serves || latest.measure <= 0) {
     return std::nullopt;
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -54,6 +54,9 @@
   /// work once a new pace takes effect; empty before its first measurement.
   std::optional<double> expected_margin;
 
+  /// @returns what the run takes of its host's capacity. Best-effort work uses
+  /// only processors that others leave idle.
+  Resources ReservedDemand() const;
   /// @returns a serving task's latency target divided by its tail latency;
   /// empty for other tasks and while no latency is measured.
   std::optional<double> margin() const;
@@ -90,6 +93,7 @@
   /// stop is sent until they are no longer listed.
   std::set<TaskRun> orphans;
   std::uint64_t orphans_from_list = 0;  ///< List number they were taken from.
+  Resources orphan_demand;  ///< What the listed orphaned runs take up.
 
   /// Ended runs that the worker must keep until the job's version is stored.
   struct PendingEnd {
@@ -128,8 +132,9 @@
   /// Includes a stop of the run in the next orders.
   /// @param run an element of `runs`.
   void OrderStop(HostedRun& run);
-  /// @returns the capacity minus the demand of all runs placed here; nothing
-  /// while the capacity is unknown. Best-effort work takes no processors.
+  /// @returns the capacity minus the demand of all runs placed here and of
+  /// orphaned runs; nothing while the capacity is unknown. Best-effort work
+  /// takes no processors. Negative where the capacity has shrunk under them.
   Resources Free() const;
   /// @returns millicores that further best-effort work could use: the free
   /// ones and those that serving tasks usually leave idle, minus what
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -199,6 +199,9 @@
   /// The run has survived its start.
   void OnProven(const Host& host, const TaskRun& id, HostedRun& run);
   void HandleEnds(Host& host, const HostReport& report);
+  /// @returns what a run of the task takes of its host's capacity; nothing if
+  /// the task is not known.
+  Resources DemandOf(const TaskKey& task);
   void HandleRunning(Host& host, const HostReport& report);
   void MarkStarted(Host& host, HostedRun& run);
   /// @returns the pace, in percent, at which a best-effort task starts on
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -260,15 +260,25 @@
   }
 }
 
+Resources Scheduler::DemandOf(const TaskKey& task) {
+  Job* job = FindJob(task.job);
+  if (job == nullptr || job->Find(task) == nullptr) {
+    return {};
+  }
+  return MakeRun(job->spec().steps[task.step]).ReservedDemand();
+}
+
 void Scheduler::HandleRunning(Host& host, const HostReport& report) {
   // An agent that has lost its worker repeats the worker's last list.
   const bool new_list = host.orphans_from_list != report.list_number;
   host.orphans_from_list = report.list_number;
   const std::set<TaskRun> unproven(report.unproven.begin(),
                                    report.unproven.end());
+  host.orphan_demand = {};
   for (const RunningTask& running : report.running) {
     const auto found = host.runs.find(running.id);
     if (found == host.runs.end()) {
+      host.orphan_demand += DemandOf(running.id.task);
       if (new_list) {
         host.orphans.insert(running.id);
         host.has_orders = true;
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -59,6 +59,20 @@
   LONGS_EQUAL(1, harness.scheduler().hosts().at(HostId("b")).runs.size());
 }
 
+TEST(Scheduler, OrphanedRunsTakeUpCapacityUntilTheyHaveEnded) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 3000));
+  harness.report("a").running.push_back(
+      RunningTask{MakeRun(job, 0, 7), {}, 0, 0});
+  harness.Report("a");
+  harness.scheduler().Place();
+  LONGS_EQUAL(0, harness.HostsOf(job).size());
+  harness.report("a").running.clear();
+  harness.Report("a");
+  harness.scheduler().Place();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+}
+
 TEST(Scheduler, AStepWaitsForAllTasksOfTheStepsItDependsOn) {
   harness.AddHost("a", 8);
   JobSpec spec;
