Do not repeat a start at once where the worker refuses for lack of capacity

What callers would see: starts that are refused in a row until the worker's next announcement tells that its capacity has shrunk.

Cause: a refused task is placed again by the same figures, so the tightest fit is the host that has just refused it.

Change: such a host gets no new tasks for half a second, or until it announces another capacity.

Evidence: AHostThatRefusesForLackOfCapacityIsNotAskedAgainAtOnce sees the task placed there again on the code before.

--- a/packages/scheduling/host.cc
+++ b/packages/scheduling/host.cc
@@ -8,6 +8,9 @@
 /// Share of its processors that a serving task leaves idle most of the time,
 /// because its demand is sized for peak load.
 constexpr double kServingIdleShare = 0.4;
+/// A host that refused a start for lack of capacity gets no new tasks for this
+/// long, unless it announces another capacity.
+constexpr Duration kRefusedCapacityPause{500};
 /// Assumed margin of a serving task that has not been measured yet.
 constexpr double kUnmeasuredMargin = 2.0;
 }  // namespace
@@ -108,7 +111,9 @@
 }
 
 bool Host::IsSchedulable(Instant now) const {
-  return facts && listed && reachable && !facts->draining &&
+  const bool refused_lately =
+      refused_capacity_at && now - *refused_capacity_at < kRefusedCapacityPause;
+  return facts && listed && reachable && !facts->draining && !refused_lately &&
          !health.unhealthy() && facts->incarnation == incarnation &&
          (!quarantined_until || *quarantined_until <= now);
 }
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -94,6 +94,9 @@
   std::set<TaskRun> orphans;
   std::uint64_t orphans_from_list = 0;  ///< List number they were taken from.
   Resources orphan_demand;  ///< What the listed orphaned runs take up.
+  /// When the worker last refused a start for lack of capacity. Its capacity
+  /// may have shrunk, which only its next announcement tells.
+  std::optional<Instant> refused_capacity_at;
 
   /// Ended runs that the worker must keep until the job's version is stored.
   struct PendingEnd {
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -86,6 +86,9 @@
   host.stamp_received = now;
   host.reachable = report.worker_reachable;
   if (report.facts) {
+    if (!host.facts || host.facts->capacity != report.facts->capacity) {
+      host.refused_capacity_at.reset();
+    }
     host.facts = report.facts;
   }
 }
@@ -234,6 +237,9 @@
       case OrderOutcome::kNoCapacity:
       case OrderOutcome::kNoTicket:
         if (!run.started) {
+          if (result.outcome == OrderOutcome::kNoCapacity) {
+            host.refused_capacity_at = m_clock.Now();
+          }
           AvoidHost(result, host);
           DropRun(host, result.id, {}, false, "the worker refused the start");
         }
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -73,6 +73,23 @@
   LONGS_EQUAL(1, harness.HostsOf(job).size());
 }
 
+TEST(Scheduler, AHostThatRefusesForLackOfCapacityIsNotAskedAgainAtOnce) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  harness.Orders("a");
+  harness.report("a").results = {
+      OrderResult{MakeRun(job, 0, 1), OrderOutcome::kNoCapacity}};
+  harness.Report("a");
+  harness.report("a").results.clear();
+  harness.scheduler().Place();
+  LONGS_EQUAL(0, harness.HostsOf(job).size());
+  harness.clock().Advance(Duration(500));
+  harness.scheduler().Place();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+}
+
 TEST(Scheduler, AStepWaitsForAllTasksOfTheStepsItDependsOn) {
   harness.AddHost("a", 8);
   JobSpec spec;
