Withdraw unconfirmed starts where the capacity has shrunk under them

What callers would see: a worker that does not guard its capacity is brought over it long after it has announced that it has shrunk.

Cause: a placement counts when it is decided. Its start may be sent much later, when the store answers again, and is sent again to a restarted agent or after two seconds without a sign of it, whatever was announced meanwhile.

Change: before orders are sent, starts that the worker has not confirmed are turned into stops, which bar them, until what the host carries fits again.

Evidence: AStartThatWaitedForTheStoreIsNotSentToAShrunkHost and AStartIsNotRepeatedToAHostThatHasShrunkMeanwhile get 4 starts in place of 2 and 1 on the code before.

--- a/packages/scheduling/host.cc
+++ b/packages/scheduling/host.cc
@@ -32,6 +32,25 @@
   return free;
 }
 
+std::vector<TaskRun> Host::WithdrawStartsBeyondCapacity() {
+  std::vector<TaskRun> withdrawn;
+  if (!facts) {
+    return withdrawn;
+  }
+  Resources free = Free();
+  for (auto run = runs.rbegin(); run != runs.rend() && !free.IsNonNegative();
+       ++run) {
+    HostedRun& hosted = run->second;
+    if (hosted.ordered && !hosted.started && !hosted.stopping &&
+        !hosted.recovered) {
+      OrderStop(hosted);
+      free += hosted.ReservedDemand();
+      withdrawn.push_back(run->first);
+    }
+  }
+  return withdrawn;
+}
+
 std::int64_t Host::IdleMillicores() const {
   std::int64_t idle = Free().millicores;
   for (const auto& [id, run] : runs) {
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -139,6 +139,11 @@
   /// orphaned runs; nothing while the capacity is unknown. Best-effort work
   /// takes no processors. Negative where the capacity has shrunk under them.
   Resources Free() const;
+  /// Stops starts that the worker has not confirmed, newest run first, until
+  /// what is placed here fits into the capacity again. A stop bars the start
+  /// even if it was sent before.
+  /// @returns the runs that are stopped so.
+  std::vector<TaskRun> WithdrawStartsBeyondCapacity();
   /// @returns millicores that further best-effort work could use: the free
   /// ones and those that serving tasks usually leave idle, minus what
   /// best-effort work uses at its pace. May be negative.
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -351,6 +351,10 @@
   }
   orders.granted_stamp =
       host.granted_stamp_received && grant ? host.stamp : Instant{0};
+  for (const TaskRun& withdrawn : host.WithdrawStartsBeyondCapacity()) {
+    m_log({"run stopped", withdrawn, host.id(),
+           "the worker's capacity has shrunk before it was started"});
+  }
   const Instant now = m_clock.Now();
   for (auto& [run_id, run] : host.runs) {
     if (run.started && run.pace_pending) {
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -59,6 +59,47 @@
   LONGS_EQUAL(1, harness.scheduler().hosts().at(HostId("b")).runs.size());
 }
 
+TEST(Scheduler, AStartThatWaitedForTheStoreIsNotSentToAShrunkHost) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(4, 1000));
+  harness.scheduler().Place();
+  harness.report("a").facts->capacity.millicores = 2000;
+  harness.Report("a");
+  harness.Write();
+  const HostOrders orders = harness.Orders("a");
+  LONGS_EQUAL(2, orders.starts.size());
+  LONGS_EQUAL(2, orders.stops.size());
+  // The worker bars the stopped starts. The tasks wait until it has grown.
+  for (const StartOrder& start : orders.starts) {
+    harness.report("a").running.push_back(RunningTask{start.id, {}, 0, 0});
+  }
+  for (const TaskRun& stop : orders.stops) {
+    harness.report("a").results.push_back(
+        OrderResult{stop, OrderOutcome::kStopped});
+  }
+  harness.Report("a");
+  harness.RunRound();
+  LONGS_EQUAL(2, harness.HostsOf(job).size());
+  harness.report("a").facts->capacity.millicores = 4000;
+  harness.Report("a");
+  harness.RunRound();
+  LONGS_EQUAL(4, harness.HostsOf(job).size());
+}
+
+TEST(Scheduler, AStartIsNotRepeatedToAHostThatHasShrunkMeanwhile) {
+  harness.AddHost("a", 4);
+  harness.AddJob("job", MakeStep(4, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  LONGS_EQUAL(4, harness.Orders("a").starts.size());
+  harness.report("a").facts->capacity.millicores = 1000;
+  harness.report("a").agent = Incarnation(2);
+  harness.Report("a");
+  const HostOrders repeated = harness.Orders("a");
+  LONGS_EQUAL(1, repeated.starts.size());
+  LONGS_EQUAL(3, repeated.stops.size());
+}
+
 TEST(Scheduler, OrphanedRunsTakeUpCapacityUntilTheyHaveEnded) {
   harness.AddHost("a", 4);
   const JobId job = harness.AddJob("job", MakeStep(1, 3000));
