Prove a run's survival of its start by the worker's clock

Cause: the agent measured by its own clock, so a list that was long under way counted as newer than it was; it dropped the trials of runs that may have outlived a restart, which read as proof; it named starts that were never answered like runs that were seen at work; and it kept blaming a run that the next incarnation lists.

Change: trials run on the worker's clock, which its answer to a start and its lists contain. A hold is sent as soon as a list can prove a run, so fewer runs are suspects when a worker crashes. Starts without an answer are named apart.

Tried and dropped: proof by the clock of any answer to a start. Such an answer does not tell the incarnation, and the next one's passed as proof.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -1,6 +1,7 @@
 #include "hosting/host_supervisor.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace zinniacart {
@@ -94,7 +95,7 @@
     RecordCrash(*m_incarnation);
   }
   m_incarnation = incarnation;
-  m_trials.clear();
+  RestartTrials();
   m_starts.clear();
   m_stops.clear();
   m_paces.clear();
@@ -132,8 +133,7 @@
   }
   m_reachable = reachable;
   ApplyLists(call, *lists);
-  m_heard_at = m_clock.Now();
-  UpdateTrials();
+  UpdateTrials(*lists);
   if (HasUnrecordedEnds()) {
     m_next_hold_at = m_clock.Now() + m_settings.retry_delay;
   }
@@ -184,6 +184,7 @@
       !lists.ended.empty() &&
       (m_ended.empty() || lists.ended.back().number > m_ended.back().number);
   m_ended = lists.ended;
+  ClearListedSuspects(lists);
   ResolveUnanswered(lists);
   const bool newly_listed = !m_listed && call.token == m_epoch;
   m_listed = m_listed || newly_listed;
@@ -201,9 +202,6 @@
         std::any_of(lists.ended.begin(), lists.ended.end(),
                     [&id = id](const EndedTask& end) { return end.id == id; });
     if (m_running.contains(id) || ended) {
-      if (ended) {
-        m_trials.erase(id);
-      }
       Resolve(start, OrderOutcome::kStarted);
     } else if (lists.clock.milliseconds >
                start.not_after.milliseconds + kDeadlineMarginMs) {
@@ -213,17 +211,24 @@
   }
 }
 
-void HostSupervisor::UpdateTrials() {
-  const Instant now = m_clock.Now();
+void HostSupervisor::UpdateTrials(const WorkerLists& lists) {
+  for (const RunningTask& task : lists.running) {
+    const auto trial = m_trials.find(task.id);
+    if (trial != m_trials.end() && !trial->second.shown_at) {
+      trial->second.shown_at = lists.clock;
+    }
+  }
   for (auto entry = m_trials.begin(); entry != m_trials.end();) {
     auto& [id, trial] = *entry;
+    const auto start = m_starts.find(id);
+    const bool may_begin =
+        start != m_starts.end() && start->second.phase != StartPhase::kResolved;
     const bool running = m_running.contains(id);
-    if (running) {
-      trial.shown_at = trial.shown_at.value_or(now);
-    }
-    const bool ended = !running && trial.shown_at;
-    const bool survived = running && now - *trial.shown_at >= m_settings.trial;
-    if (!ended && !survived) {
+    const bool survived =
+        running && trial.shown_at &&
+        lists.clock.milliseconds - trial.shown_at->milliseconds >=
+            m_settings.trial.count();
+    if (!survived && (running || may_begin)) {
       ++entry;
       continue;
     }
@@ -234,23 +239,36 @@
   }
 }
 
+void HostSupervisor::RestartTrials() {
+  std::erase_if(m_trials, [this](const auto& entry) {
+    return !m_running.contains(entry.first);
+  });
+  for (auto& [id, trial] : m_trials) {
+    trial.shown_at.reset();
+  }
+}
+
 bool HostSupervisor::TrialDue() const {
   return m_reachable &&
          std::any_of(m_trials.begin(), m_trials.end(), [&](const auto& entry) {
            const Trial& trial = entry.second;
-           return trial.suspected && trial.shown_at &&
-                  m_clock.Now() - *trial.shown_at >= m_settings.trial;
+           return trial.shown_at &&
+                  WorkerNow().milliseconds - trial.shown_at->milliseconds >=
+                      m_settings.trial.count();
          });
 }
 
-std::vector<TaskRun> HostSupervisor::UnprovenRuns() const {
-  std::vector<TaskRun> unproven;
-  for (const auto& [id, trial] : m_trials) {
-    if (!trial.shown_at || m_heard_at - *trial.shown_at < m_settings.trial) {
-      unproven.push_back(id);
-    }
+void HostSupervisor::ClearListedSuspects(const WorkerLists& lists) {
+  if (!m_crash) {
+    return;
+  }
+  for (auto* suspects : {&m_crash->suspects, &m_crash->unconfirmed}) {
+    std::erase_if(*suspects, [&](const TaskRun& id) {
+      const auto listed = [&id](const auto& row) { return row.id == id; };
+      return std::any_of(lists.running.begin(), lists.running.end(), listed) ||
+             std::any_of(lists.ended.begin(), lists.ended.end(), listed);
+    });
   }
-  return unproven;
 }
 
 void HostSupervisor::RecordCrash(const WorkerIncarnation& ended) {
@@ -258,7 +276,10 @@
   if (facts != m_facts.end() && facts->second.first.draining) {
     return;
   }
-  m_crash = WorkerCrash{ended, UnprovenRuns()};
+  m_crash = WorkerCrash{ended, {}, {}};
+  for (const auto& [id, trial] : m_trials) {
+    (trial.shown_at ? m_crash->suspects : m_crash->unconfirmed).push_back(id);
+  }
   m_crash_seen_at = m_clock.Now();
 }
 
@@ -270,7 +291,8 @@
 }
 
 void HostSupervisor::OnStartAnswered(const StartCall& call,
-                                     StartAnswer answer) {
+                                     StartAnswer answer,
+                                     std::optional<WorkerInstant> clock) {
   const auto found = m_starts.find(call.order.id);
   if (found == m_starts.end()) {
     return;
@@ -281,10 +303,9 @@
   }
   switch (answer) {
     case StartAnswer::kStarted:
-      m_heard_at = m_clock.Now();
       m_running[call.order.id] = ListedRun{
           RunningTask{call.order.id, call.order.resume_from, 0, 0}, ++m_events};
-      UpdateTrials();
+      ShowStarted(call.order.id, clock);
       Resolve(start, OrderOutcome::kStarted);
       break;
     case StartAnswer::kNoRoom:
@@ -309,6 +330,14 @@
   }
 }
 
+void HostSupervisor::ShowStarted(const TaskRun& id,
+                                 std::optional<WorkerInstant> clock) {
+  const auto trial = m_trials.find(id);
+  if (trial != m_trials.end() && !trial->second.shown_at) {
+    trial->second.shown_at = clock.value_or(WorkerNow());
+  }
+}
+
 void HostSupervisor::OnStopAnswered(const StopCall& call, bool answered) {
   const auto found = m_stops.find(call.id);
   if (found == m_stops.end()) {
@@ -493,7 +522,9 @@
       report.ended.push_back(ended);
     }
   }
-  report.unproven = UnprovenRuns();
+  for (const auto& [id, trial] : m_trials) {
+    report.unproven.push_back(id);
+  }
   report.crash = m_crash;
   for (const auto& [id, start] : m_starts) {
     if (start.phase == StartPhase::kResolved) {
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -56,7 +56,10 @@
 
   /// @param lists the worker's answer, or an error if none came or it refused.
   void OnHoldAnswered(const HoldCall& call, const Result<WorkerLists>& lists);
-  void OnStartAnswered(const StartCall& call, StartAnswer answer);
+  /// @param clock the worker's clock at its answer, if the answer contains it.
+  void OnStartAnswered(const StartCall& call,
+                       StartAnswer answer,
+                       std::optional<WorkerInstant> clock = std::nullopt);
   /// @param answered whether the worker accepted the stop; otherwise it is sent
   /// again.
   void OnStopAnswered(const StopCall& call, bool answered);
@@ -114,11 +117,17 @@
   void Resolve(Start& start, OrderOutcome outcome);
   void ForgetOldResults();
   /// Ends the trials of runs that have worked long enough or have ended.
-  void UpdateTrials();
-  /// @returns whether a run on trial is due to have its survival shown.
+  void UpdateTrials(const WorkerLists& lists);
+  /// The worker has confirmed a start.
+  void ShowStarted(const TaskRun& id, std::optional<WorkerInstant> clock);
+  /// Begins the trials of runs anew that may belong to the next incarnation,
+  /// and drops the others.
+  void RestartTrials();
+  /// @returns whether a new list would show that a run has survived.
   bool TrialDue() const;
-  /// @returns the runs that are not known to have survived the trial period.
-  std::vector<TaskRun> UnprovenRuns() const;
+  /// A run that the present incarnation lists was not begun by the one that
+  /// has crashed: an answered start does not tell which of them carried it out.
+  void ClearListedSuspects(const WorkerLists& lists);
   /// Records a crash unless the incarnation that has ended was draining.
   void RecordCrash(const WorkerIncarnation& ended);
   /// @returns the hold that is due, if any.
@@ -175,13 +184,14 @@
   std::map<TaskRun, Pace> m_paces;
   std::map<TaskRun, ListedRun> m_running;
   struct Trial {
-    /// When it was first known to be at work; empty before.
-    std::optional<Instant> shown_at;
+    /// Time on the worker's clock at which it is first known to be at work.
+    /// Empty while the start is not confirmed.
+    std::optional<WorkerInstant> shown_at;
     bool suspected = false;  ///< See `StartOrder::trial`.
   };
+  /// Runs of which no list shows yet that they have survived their start.
   std::map<TaskRun, Trial> m_trials;
   Instant m_next_trial_hold_at;
-  Instant m_heard_at;  ///< The newest answer of the present incarnation.
   std::optional<WorkerCrash> m_crash;
   Instant m_crash_seen_at;
   std::vector<EndedTask> m_ended;
--- a/packages/scheduling/host_messages.h
+++ b/packages/scheduling/host_messages.h
@@ -62,9 +62,12 @@
 /// A worker incarnation that ended without draining first.
 struct WorkerCrash {
   WorkerIncarnation incarnation;
-  /// Runs that may have caused it: their starts were sent, and the worker is
-  /// not known to have run them for the trial period.
+  /// Runs that may have caused it: the worker had begun them and is not known
+  /// to have run them for the trial period.
   std::vector<TaskRun> suspects;
+  /// Runs whose starts were sent, but not confirmed: they may have caused it if
+  /// the worker had begun them.
+  std::vector<TaskRun> unconfirmed;
 };
 
 /// The result of an order to a worker.
--- a/packages/scheduling/host_messages_codec.cc
+++ b/packages/scheduling/host_messages_codec.cc
@@ -171,7 +171,8 @@
     const json& crash = row["crash"];
     report.crash = WorkerCrash{
         WorkerIncarnation(crash.at("incarnation").get<std::int64_t>()),
-        DecodeRows<TaskRun>(crash.at("suspects"), DecodeRun)};
+        DecodeRows<TaskRun>(crash.at("suspects"), DecodeRun),
+        DecodeRows<TaskRun>(crash.at("unconfirmed"), DecodeRun)};
   }
   return report;
 }
@@ -236,7 +237,8 @@
   if (report.crash) {
     row["crash"] = {
         {"incarnation", report.crash->incarnation.value()},
-        {"suspects", EncodeRows(report.crash->suspects, EncodeRun)}};
+        {"suspects", EncodeRows(report.crash->suspects, EncodeRun)},
+        {"unconfirmed", EncodeRows(report.crash->unconfirmed, EncodeRun)}};
   }
   return row.dump();
 }
--- a/packages/scheduling/scheduler_crashes.cc
+++ b/packages/scheduling/scheduler_crashes.cc
@@ -20,7 +20,7 @@
     return std::nullopt;
   }
   // The agent was restarted too and does not know what its worker had begun.
-  WorkerCrash crash{host.incarnation, {}};
+  WorkerCrash crash{host.incarnation, {}, {}};
   for (const auto& [id, run] : host.runs) {
     if (run.ordered && !run.proven && !run.recovered) {
       crash.suspects.push_back(id);
--- a/packages/site/agent_node.cc
+++ b/packages/site/agent_node.cc
@@ -111,12 +111,13 @@
 }
 
 void AgentNode::Run(const StartCall& call) {
-  m_worker.Start(call, [this, call](StartAnswer answer) {
+  m_worker.Start(call, [this, call](StartAnswer answer,
+                                    std::optional<WorkerInstant> clock) {
     LogInfo("start call to the worker completed",
             {{"task", call.order.id.task.ToString()},
              {"run", call.order.id.run.value()},
              {"answer", static_cast<int>(answer)}});
-    m_supervisor.OnStartAnswered(call, answer);
+    m_supervisor.OnStartAnswered(call, answer, clock);
     SendCallsAndReports();
   });
 }
--- a/packages/site/worker_port.h
+++ b/packages/site/worker_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 
 #include "base/error.h"
 #include "hosting/worker_calls.h"
@@ -19,9 +20,11 @@
   virtual void Hold(const HoldCall& call,
                     std::function<void(Result<WorkerLists>)> done) = 0;
   /// Starts a run.
-  /// @param done receives the result; a missing answer is a `StartAnswer` too.
-  virtual void Start(const StartCall& call,
-                     std::function<void(StartAnswer)> done) = 0;
+  /// @param done receives the result, which may be that there is no answer, and
+  ///             the worker's clock if the answer contains it.
+  virtual void Start(
+      const StartCall& call,
+      std::function<void(StartAnswer, std::optional<WorkerInstant>)> done) = 0;
   /// Stops a run.
   /// @param done receives whether the worker accepted the stop.
   virtual void Stop(const StopCall& call, std::function<void(bool)> done) = 0;
