Keep what is known of a crash while owner or agent are replaced

What callers saw: a task that crashes its workers was started 5 to 20 times where the agent or the owner died close to the crash, and a job could be given up although its task had not been on two workers that crashed.

Cause: what had just been started died with whoever knew it. A restarted agent that reported before its worker was back hid the crash; a new owner took runs that had vanished with their worker for runs that were never begun; two crashes between two reports left the first without suspects; a repeated report blamed a task that had been cleared since, or one run for two crashes; and a start that nobody has seen carried out counted like one that was.

Change: the owner examines each worker incarnation that has ended, from the agent's report or else from what it knows itself. Evidence has three grades: unconfirmed, shared, sole. A run counts once. The suspects of each crash and the run that cleared a task are restored from the stored progress. At least two confirmed crashes are needed for a verdict; five crashes in a row decide in any case, so that a task cannot go on without end.

--- a/packages/scheduling/crash_verdict.h
+++ b/packages/scheduling/crash_verdict.h
@@ -5,18 +5,25 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "jobs/task_key.h"
 #include "scheduling/host_messages.h"
 
 namespace zinniacart {
 
+/// How strongly a crash speaks against a task.
+enum class CrashEvidence {
+  kUnconfirmed,  ///< It is not known whether the worker had begun the run.
+  kShared,  ///< Runs of other jobs, or the host itself, may have caused it too.
+  kSole,    ///< No run of another job is suspected of it.
+};
+
 /// A crash of a worker of which a task is suspected, because a run of it had
 /// just been started there.
 struct SuspectedCrash {
   HostId host;
   WorkerIncarnation incarnation;
-  /// No run of another job was suspected of this crash, and the host had not
-  /// crashed shortly before for an unknown reason.
-  bool sole = false;
+  RunNumber run;  ///< The task's run on that host.
+  CrashEvidence evidence = CrashEvidence::kShared;
 
   bool operator==(const SuspectedCrash&) const = default;
 };
@@ -29,11 +36,12 @@
 };
 
 /// Tells a task that crashes its hosts from a host that fails by itself. A task
-/// is guilty only if it is the sole suspect twice, on two hosts, or once of
-/// three crashes; the coincidence of two hosts that fail just after they have
-/// started it is not assumed. Whether or not other suspects were about, the
-/// fourth crash in a row decides, so that no task takes down more hosts.
-/// @param crashes those since the task last survived a start.
+/// is guilty if two workers have crashed under it and it is the sole suspect of
+/// two crashes on two hosts, or of one of three crashes; the coincidence of two
+/// hosts that fail just after they have started it is not assumed. The fourth
+/// crash in a row decides whoever else is suspected of it, and the fifth one
+/// even if the starts are unconfirmed, so that no task takes down more hosts.
+/// @param crashes those since the task last survived a start, of one run each.
 CrashVerdict Judge(const std::vector<SuspectedCrash>& crashes);
 
 /// @returns the hosts and worker incarnations of the crashes, for people.
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -54,6 +54,9 @@
   /// work once a new pace takes effect; empty before its first measurement.
   std::optional<double> expected_margin;
 
+  /// @returns whether the worker may have begun the run, and a crash of the
+  /// worker now could have the run as its cause.
+  bool MayCrashItsWorker() const { return ordered && !proven && !recovered; }
   /// @returns what the run takes of its host's capacity. Best-effort work uses
   /// only processors that others leave idle.
   Resources ReservedDemand() const;
@@ -121,13 +124,11 @@
   std::uint32_t failures_in_row = 0;
   std::optional<Instant> quarantined_until;
 
-  /// The newest incarnation whose crash was handled.
-  WorkerIncarnation crashed;
+  /// The newest incarnation of which it is known how it has ended.
+  WorkerIncarnation examined;
   /// When the host last crashed without a suspect, or the last suspect of a
   /// crash was cleared: it may fail by itself.
   std::optional<Instant> failed_by_itself_at;
-  /// The tasks that are still suspected of each crash.
-  std::map<WorkerIncarnation, std::set<TaskKey>> suspects;
 
   /// Orders are waiting to be sent.
   bool has_orders = false;
--- a/packages/scheduling/job.cc
+++ b/packages/scheduling/job.cc
@@ -18,23 +18,27 @@
          task.failures == 0;
 }
 
-json EncodeCrashes(const std::vector<SuspectedCrash>& crashes) {
-  json rows = json::array();
-  for (const SuspectedCrash& crash : crashes) {
-    rows.push_back(json::array(
-        {crash.host.value(), crash.incarnation.value(), crash.sole}));
+/// @returns the run that last cleared the task, followed by its crashes.
+json EncodeCrashes(const Task& task) {
+  json rows = json::array({task.proven_run.value()});
+  for (const SuspectedCrash& crash : task.crashes) {
+    rows.push_back(
+        json::array({crash.host.value(), crash.incarnation.value(),
+                     crash.run.value(), static_cast<int>(crash.evidence)}));
   }
   return rows;
 }
 
-std::vector<SuspectedCrash> DecodeCrashes(const json& rows) {
-  std::vector<SuspectedCrash> crashes;
-  for (const json& row : rows) {
-    crashes.push_back(SuspectedCrash{
-        HostId(row.at(0).get<std::string>()),
-        WorkerIncarnation(row.at(1).get<std::int64_t>()), row.at(2)});
+void DecodeCrashes(const json& rows, Task& task) {
+  task.proven_run = RunNumber(rows.at(0).get<std::uint64_t>());
+  for (std::size_t number = 1; number < rows.size(); ++number) {
+    const json& row = rows.at(number);
+    task.crashes.push_back(
+        SuspectedCrash{HostId(row.at(0).get<std::string>()),
+                       WorkerIncarnation(row.at(1).get<std::int64_t>()),
+                       RunNumber(row.at(2).get<std::uint64_t>()),
+                       static_cast<CrashEvidence>(row.at(3).get<int>())});
   }
-  return crashes;
 }
 
 char PhaseMarkOf(const Task& task) {
@@ -57,8 +61,8 @@
     row.push_back(task.placement.host.value());
     row.push_back(task.placement.incarnation.value());
   }
-  if (!task.crashes.empty()) {
-    row.push_back(EncodeCrashes(task.crashes));
+  if (!task.crashes.empty() || task.proven_run != RunNumber()) {
+    row.push_back(EncodeCrashes(task));
   }
   return row;
 }
@@ -80,7 +84,7 @@
                   WorkerIncarnation(row.at(7).get<std::int64_t>())};
   }
   if (row.back().is_array()) {
-    task.crashes = DecodeCrashes(row.back());
+    DecodeCrashes(row.back(), task);
   }
   return task;
 }
@@ -208,33 +212,35 @@
   IncrementVersion();
 }
 
-void Job::Suspect(const TaskKey& key, const SuspectedCrash& crash) {
+bool Job::Suspect(const TaskKey& key, const SuspectedCrash& crash) {
   Task& task = *Find(key);
-  const bool known = std::any_of(
-      task.crashes.begin(), task.crashes.end(), [&](const auto& other) {
-        return other.host == crash.host &&
-               other.incarnation == crash.incarnation;
-      });
-  if (known || task.phase == TaskPhase::kDone) {
-    return;
+  // A run can have crashed one worker only.
+  const bool known =
+      std::any_of(task.crashes.begin(), task.crashes.end(),
+                  [&](const auto& other) { return other.run == crash.run; });
+  if (known || crash.run <= task.proven_run || task.phase == TaskPhase::kDone) {
+    return false;
   }
   task.crashes.push_back(crash);
   IncrementVersion();
+  return true;
 }
 
 void Job::BecomeSoleSuspect(const TaskKey& key,
                             const HostId& host,
                             const WorkerIncarnation& incarnation) {
   for (SuspectedCrash& crash : Find(key)->crashes) {
-    if (crash.host == host && crash.incarnation == incarnation) {
-      crash.sole = true;
+    if (crash.host == host && crash.incarnation == incarnation &&
+        crash.evidence == CrashEvidence::kShared) {
+      crash.evidence = CrashEvidence::kSole;
       IncrementVersion();
     }
   }
 }
 
-void Job::ClearSuspicion(const TaskKey& key) {
+void Job::ClearSuspicion(const TaskKey& key, RunNumber proven) {
   Task& task = *Find(key);
+  task.proven_run = proven;
   task.vanished = false;
   if (!task.crashes.empty()) {
     task.crashes.clear();
--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -45,6 +45,8 @@
   /// The crashes that the task is suspected of, since a run last survived its
   /// start.
   std::vector<SuspectedCrash> crashes;
+  /// The run that last cleared the task of a suspicion by surviving its start.
+  RunNumber proven_run;
   /// Its last run vanished with its host just after it was started: it may or
   /// may not have been the cause. Not persisted.
   bool vanished = false;
@@ -114,15 +116,17 @@
   void Finish(const TaskKey& key);
   /// Records the newest checkpoint of a task that keeps running.
   void SaveCheckpoint(const TaskKey& key, const CheckpointId& checkpoint);
-  /// Records a crash that the task is suspected of, unless it is recorded
-  /// already.
-  void Suspect(const TaskKey& key, const SuspectedCrash& crash);
+  /// Records a crash that the task is suspected of.
+  /// @returns false if a crash of that run is recorded already, or if the run
+  /// or a newer one has survived its start.
+  bool Suspect(const TaskKey& key, const SuspectedCrash& crash);
   /// The other suspects of a recorded crash have been cleared.
   void BecomeSoleSuspect(const TaskKey& key,
                          const HostId& host,
                          const WorkerIncarnation& incarnation);
-  /// A run of the task has survived its start: nothing is left of suspicions.
-  void ClearSuspicion(const TaskKey& key);
+  /// The run `proven` of the task has survived its start: nothing is left of
+  /// suspicions.
+  void ClearSuspicion(const TaskKey& key, RunNumber proven);
   /// Ends the job as cancelled.
   void Cancel();
   /// Ends the job as failed.
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -23,6 +23,7 @@
   m_dirty = {};
   m_checkpoint_dirty = {};
   m_ended_jobs.clear();
+  m_suspects.clear();
   m_serving_loads.clear();
   m_siblings.Clear();
 }
@@ -75,6 +76,11 @@
     host.runs.emplace(TaskRun{key, task.run}, std::move(run));
     task.placed_at = m_clock.Now();
   });
+  job->ForEachTask([&](const TaskKey& key, Task& task) {
+    for (const SuspectedCrash& crash : task.crashes) {
+      m_suspects[{crash.host, crash.incarnation}].insert(key);
+    }
+  });
   if (!job->active()) {
     StopTasksOf(*job);
     m_ended_jobs.emplace_back(m_clock.Now(), id);
@@ -171,6 +177,7 @@
       return entry.first.job == ended;
     });
     m_siblings.Forget(ended);
+    ForgetSuspectsOf(ended);
     m_jobs.erase(ended);
     m_ended_jobs.pop_front();
   }
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -170,15 +170,16 @@
   void ResolveRunOfOldIncarnation(Host& host, const TaskRun& id, bool listed);
   /// @returns the crash that the report shows and that was not handled yet.
   /// Must be called before the report is applied.
-  static std::optional<WorkerCrash> CrashShownBy(const Host& host,
+  static std::optional<WorkerCrash> CrashShownBy(Host& host,
                                                  const HostReport& report);
   /// Records which tasks are suspected of the crash. Gives up the jobs of those
   /// that are guilty.
-  void HandleCrash(Host& host, const WorkerCrash& crash);
-  void SuspectOf(const WorkerCrash& crash,
-                 const TaskRun& id,
-                 Host& host,
-                 bool sole);
+  void HandleCrash(Host& host, WorkerCrash crash);
+  /// @returns whether the run is recorded as a suspect of a crash of another
+  /// worker incarnation. A run can have crashed one worker only.
+  bool IsSuspectOfAnother(const TaskRun& id,
+                          const WorkerIncarnation& incarnation);
+  void SuspectOf(const TaskRun& id, const SuspectedCrash& crash);
   /// @returns whether the host may be unresponsive because of the run, which
   /// had just been started. It must not be started elsewhere before that is
   /// known.
@@ -187,14 +188,16 @@
   bool IsDoubtful(const Host& host) const;
   /// Removes the task from the suspects of all crashes. The hosts of crashes
   /// without another suspect have failed by themselves.
-  void ClearSuspicion(Job& job, const TaskKey& key);
+  /// @param proven the task's run that has survived its start.
+  void ClearSuspicion(Job& job, const TaskRun& proven);
   /// If all tasks that are still suspected of the crash belong to one job, they
   /// are its sole suspects from now on.
-  void NarrowSuspects(const Host& host, const WorkerIncarnation& crashed);
+  void NarrowSuspects(const HostId& host, const WorkerIncarnation& crashed);
+  void ForgetSuspectsOf(const JobId& job);
   /// Ends the job as failed if the task of the run is guilty.
-  void GiveUpIfGuilty(Job& job, const TaskRun& id, const Host& host);
-  /// Its crashes may have had the task's run as their cause, although no crash
-  /// was seen.
+  void GiveUpIfGuilty(Job& job, const TaskRun& id, const HostId& host);
+  /// The host was lost: each of its runs that had just been started may have
+  /// crashed its worker, although no crash was seen.
   void MarkVanished(const Host& host);
   /// The run has survived its start.
   void OnProven(const Host& host, const TaskRun& id, HostedRun& run);
@@ -323,6 +326,9 @@
   InterferenceModel m_interference;
   RunTimeModel m_run_times;
   SiblingSpeeds m_siblings;
+  /// The tasks that are still suspected of each crash, by host and the worker
+  /// incarnation that crashed.
+  std::map<std::pair<HostId, WorkerIncarnation>, std::set<TaskKey>> m_suspects;
   /// Keyed by the first task of each step.
   std::map<TaskKey, ServingLoad> m_serving_loads;
   std::map<ServiceId, Headroom> m_headroom;
--- a/packages/scheduling/scheduler_crashes.cc
+++ b/packages/scheduling/scheduler_crashes.cc
@@ -6,34 +6,44 @@
 
 namespace zinniacart {
 
-std::optional<WorkerCrash> Scheduler::CrashShownBy(const Host& host,
+std::optional<WorkerCrash> Scheduler::CrashShownBy(Host& host,
                                                    const HostReport& report) {
-  if (report.crash) {
-    return report.crash->incarnation > host.crashed ? report.crash
-                                                    : std::nullopt;
+  if (report.crash && report.crash->incarnation > host.examined) {
+    return report.crash;
   }
   const bool restarted = host.incarnation != WorkerIncarnation() &&
                          report.incarnation &&
                          *report.incarnation > host.incarnation;
-  if (!restarted || report.agent == host.agent || !host.facts ||
-      host.facts->draining) {
+  if (!restarted || host.incarnation <= host.examined) {
+    return std::nullopt;
+  }
+  if (!host.facts || host.facts->draining) {
+    host.examined = host.incarnation;
     return std::nullopt;
   }
   // The agent was restarted too and does not know what its worker had begun.
   WorkerCrash crash{host.incarnation, {}, {}};
   for (const auto& [id, run] : host.runs) {
-    if (run.ordered && !run.proven && !run.recovered) {
-      crash.suspects.push_back(id);
+    if (run.MayCrashItsWorker()) {
+      (run.started ? crash.suspects : crash.unconfirmed).push_back(id);
     }
   }
   return crash;
 }
 
-void Scheduler::HandleCrash(Host& host, const WorkerCrash& crash) {
-  host.crashed = crash.incarnation;
+void Scheduler::HandleCrash(Host& host, WorkerCrash crash) {
+  host.examined = crash.incarnation;
+  for (auto* runs : {&crash.suspects, &crash.unconfirmed}) {
+    std::erase_if(*runs, [&](const TaskRun& id) {
+      return IsSuspectOfAnother(id, crash.incarnation);
+    });
+  }
   std::set<JobId> jobs;
-  for (const TaskRun& id : crash.suspects) {
-    jobs.insert(id.task.job);
+  for (const auto* runs : {&crash.suspects, &crash.unconfirmed}) {
+    for (const TaskRun& id : *runs) {
+      jobs.insert(id.task.job);
+      m_suspects[{host.id(), crash.incarnation}].insert(id.task);
+    }
   }
   // Tasks of one job stand or fall together.
   const bool sole = jobs.size() == 1 && !IsDoubtful(host);
@@ -41,36 +51,53 @@
          {},
          host.id(),
          "worker " + std::to_string(crash.incarnation.value()) + ", " +
-             std::to_string(crash.suspects.size()) + " runs of " +
-             std::to_string(jobs.size()) + " jobs are suspected"});
-  if (crash.suspects.empty()) {
+             std::to_string(crash.suspects.size()) + " runs and " +
+             std::to_string(crash.unconfirmed.size()) +
+             " unconfirmed starts of " + std::to_string(jobs.size()) +
+             " jobs are suspected"});
+  if (jobs.empty()) {
     host.failed_by_itself_at = m_clock.Now();
   }
   for (const TaskRun& id : crash.suspects) {
-    SuspectOf(crash, id, host, sole);
+    SuspectOf(id, SuspectedCrash{
+                      host.id(), crash.incarnation, id.run,
+                      sole ? CrashEvidence::kSole : CrashEvidence::kShared});
   }
+  for (const TaskRun& id : crash.unconfirmed) {
+    SuspectOf(id, SuspectedCrash{host.id(), crash.incarnation, id.run,
+                                 CrashEvidence::kUnconfirmed});
+  }
+}
+
+bool Scheduler::IsSuspectOfAnother(const TaskRun& id,
+                                   const WorkerIncarnation& incarnation) {
+  Job* job = FindJob(id.task.job);
+  const Task* task = job == nullptr ? nullptr : job->Find(id.task);
+  return task != nullptr &&
+         std::any_of(task->crashes.begin(), task->crashes.end(),
+                     [&](const SuspectedCrash& crash) {
+                       return crash.run == id.run &&
+                              crash.incarnation != incarnation;
+                     });
 }
 
-void Scheduler::SuspectOf(const WorkerCrash& crash,
-                          const TaskRun& id,
-                          Host& host,
-                          bool sole) {
+void Scheduler::SuspectOf(const TaskRun& id, const SuspectedCrash& crash) {
   Job* job = FindJob(id.task.job);
   Task* task = job == nullptr ? nullptr : job->Find(id.task);
-  // A newer run, if there is one, tells more about the task.
-  if (task == nullptr || !job->active() || task->run != id.run) {
+  if (task == nullptr || !job->active()) {
+    return;
+  }
+  if (!job->Suspect(id.task, crash)) {
     return;
   }
-  job->Suspect(id.task, SuspectedCrash{host.id(), crash.incarnation, sole});
   MarkDirty(*job);
-  host.suspects[crash.incarnation].insert(id.task);
-  m_log({"task suspected of crashing its worker", id, host.id(),
+  m_log({"task suspected of crashing its worker", id, crash.host,
          Describe(task->crashes)});
-  GiveUpIfGuilty(*job, id, host);
+  GiveUpIfGuilty(*job, id, crash.host);
 }
 
 bool Scheduler::MayHaveCrashed(const Host& host, const HostedRun& run) {
-  return !host.reachable && run.ordered && !run.proven && !run.recovered;
+  return !host.reachable && run.MayCrashItsWorker();
 }
 
 bool Scheduler::IsDoubtful(const Host& host) const {
@@ -78,31 +105,30 @@
          m_clock.Now() - *host.failed_by_itself_at < m_settings.host_doubt;
 }
 
-void Scheduler::ClearSuspicion(Job& job, const TaskKey& key) {
+void Scheduler::ClearSuspicion(Job& job, const TaskRun& proven) {
+  const TaskKey& key = proven.task;
   for (const SuspectedCrash& crash : job.Find(key)->crashes) {
-    const auto host = m_hosts.find(crash.host);
-    if (host == m_hosts.end()) {
-      continue;
-    }
-    const auto suspects = host->second.suspects.find(crash.incarnation);
-    if (suspects == host->second.suspects.end() ||
-        suspects->second.erase(key) == 0) {
+    const auto suspects = m_suspects.find({crash.host, crash.incarnation});
+    if (suspects == m_suspects.end() || suspects->second.erase(key) == 0) {
       continue;
     }
+    const auto host = m_hosts.find(crash.host);
     if (suspects->second.empty()) {
-      host->second.suspects.erase(suspects);
-      host->second.failed_by_itself_at = m_clock.Now();
-    } else if (!IsDoubtful(host->second)) {
-      NarrowSuspects(host->second, crash.incarnation);
+      m_suspects.erase(suspects);
+      if (host != m_hosts.end()) {
+        host->second.failed_by_itself_at = m_clock.Now();
+      }
+    } else if (host == m_hosts.end() || !IsDoubtful(host->second)) {
+      NarrowSuspects(crash.host, crash.incarnation);
     }
   }
-  job.ClearSuspicion(key);
+  job.ClearSuspicion(key, proven.run);
   MarkCheckpointDirty(job);
 }
 
-void Scheduler::NarrowSuspects(const Host& host,
+void Scheduler::NarrowSuspects(const HostId& host,
                                const WorkerIncarnation& crashed) {
-  const std::set<TaskKey>& left = host.suspects.at(crashed);
+  const std::set<TaskKey> left = m_suspects.at({host, crashed});
   if (left.begin()->job != left.rbegin()->job) {
     return;
   }
@@ -111,33 +137,42 @@
     return;
   }
   for (const TaskKey& key : left) {
-    job->BecomeSoleSuspect(key, host.id(), crashed);
+    job->BecomeSoleSuspect(key, host, crashed);
     const TaskRun newest{key, job->Find(key)->run};
-    m_log({"task is the only suspect left of a crash", newest, host.id(),
+    m_log({"task is the only suspect left of a crash", newest, host,
            Describe(job->Find(key)->crashes)});
     GiveUpIfGuilty(*job, newest, host);
   }
   MarkDirty(*job);
 }
 
-void Scheduler::GiveUpIfGuilty(Job& job, const TaskRun& id, const Host& host) {
+void Scheduler::GiveUpIfGuilty(Job& job,
+                               const TaskRun& id,
+                               const HostId& host) {
   const Task& task = *job.Find(id.task);
   if (!job.active() || Judge(task.crashes) != CrashVerdict::kGuilty) {
     return;
   }
   job.MarkFailed();
-  m_log({"job failed", id, host.id(),
+  m_log({"job failed", id, host,
          "the task crashes the workers that start it: " +
              Describe(task.crashes)});
   StopTasksOf(job);
 }
 
+void Scheduler::ForgetSuspectsOf(const JobId& job) {
+  for (auto& [crash, tasks] : m_suspects) {
+    std::erase_if(tasks, [&job](const TaskKey& key) { return key.job == job; });
+  }
+  std::erase_if(m_suspects,
+                [](const auto& entry) { return entry.second.empty(); });
+}
+
 void Scheduler::MarkVanished(const Host& host) {
   for (const auto& [id, run] : host.runs) {
     Job* job = FindJob(id.task.job);
     Task* task = job == nullptr ? nullptr : job->Find(id.task);
-    if (task != nullptr && task->run == id.run && run.ordered && !run.proven &&
-        !run.recovered) {
+    if (task != nullptr && task->run == id.run && run.MayCrashItsWorker()) {
       task->vanished = true;
     }
   }
@@ -156,7 +191,7 @@
   }
   m_log({"task cleared of suspicion", id, host.id(),
          "it has survived its start"});
-  ClearSuspicion(*job, id.task);
+  ClearSuspicion(*job, id);
 }
 
 }  // namespace zinniacart
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -114,6 +114,12 @@
                                            const TaskRun& id,
                                            bool listed) {
   HostedRun& run = host.runs.at(id);
+  if (!listed && run.incarnation != host.examined &&
+      (run.recovered || run.MayCrashItsWorker())) {
+    // Nobody has seen how that incarnation ended.
+    SuspectOf(id, SuspectedCrash{host.id(), run.incarnation, id.run,
+                                 CrashEvidence::kUnconfirmed});
+  }
   if (listed || run.recovered) {
     // The run started in the new worker incarnation, or it is recovered and the
     // worker's list under this epoch will show whether it runs.
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -17,11 +17,18 @@
 constexpr int kMostCrashes = 3;
 
 SuspectedCrash Sole(const std::string& host, std::int64_t incarnation = 1000) {
-  return SuspectedCrash{HostId(host), WorkerIncarnation(incarnation), true};
+  return SuspectedCrash{HostId(host), WorkerIncarnation(incarnation),
+                        RunNumber(1), CrashEvidence::kSole};
 }
 
 SuspectedCrash Shared(const std::string& host) {
-  return SuspectedCrash{HostId(host), WorkerIncarnation(1000), false};
+  return SuspectedCrash{HostId(host), WorkerIncarnation(1000), RunNumber(1),
+                        CrashEvidence::kShared};
+}
+
+SuspectedCrash Unconfirmed(const std::string& host) {
+  return SuspectedCrash{HostId(host), WorkerIncarnation(1000), RunNumber(1),
+                        CrashEvidence::kUnconfirmed};
 }
 
 }  // namespace
@@ -127,7 +134,7 @@
   STRCMP_EQUAL(host.c_str(), HostOf(job).c_str());
   harness.Crash(host);
   LONGS_EQUAL(1, TaskOf(job).crashes.size());
-  CHECK_FALSE(TaskOf(job).crashes.front().sole);
+  CHECK(TaskOf(job).crashes.front().evidence == CrashEvidence::kShared);
 }
 
 TEST(Crash, WorkerThatDrainsOrIsCutOffBlamesNobody) {
@@ -222,12 +229,21 @@
   CHECK(Judge({Shared("a"), Shared("b"), Sole("c")}) == CrashVerdict::kGuilty);
   CHECK(Judge({Shared("a"), Shared("b"), Shared("c"), Shared("d")}) ==
         CrashVerdict::kGuilty);
+  CHECK(Judge({Unconfirmed("a"), Unconfirmed("b"), Sole("c")}) ==
+        CrashVerdict::kSuspect);
+  CHECK(Judge({Unconfirmed("a"), Shared("b"), Sole("c")}) ==
+        CrashVerdict::kGuilty);
+  CHECK(Judge({Unconfirmed("a"), Unconfirmed("b"), Unconfirmed("c"),
+               Unconfirmed("d")}) == CrashVerdict::kSuspect);
+  CHECK(Judge({Unconfirmed("a"), Unconfirmed("b"), Unconfirmed("c"),
+               Unconfirmed("d"), Unconfirmed("a")}) == CrashVerdict::kGuilty);
 }
 
 TEST(Crash, ReportAndOrdersKeepTheirTrialsOnTheWire) {
   HostReport report;
   report.unproven = {MakeRun(JobId("0123456789abcdef"), 2, 3)};
-  report.crash = WorkerCrash{WorkerIncarnation(1000), report.unproven,
+  report.crash = WorkerCrash{WorkerIncarnation(1000),
+                             report.unproven,
                              {MakeRun(JobId("0123456789abcdef"), 3, 4)}};
   const auto decoded = DecodeHostReport(Encode(report));
   CHECK(decoded->unproven == report.unproven);
@@ -295,13 +311,91 @@
   }
   harness.RunUnprovenRound();
   CrashUnder(guilty);
-  CHECK_FALSE(TaskOf(guilty).crashes.front().sole);
+  CHECK(TaskOf(guilty).crashes.front().evidence == CrashEvidence::kShared);
   harness.RunUnprovenRound();
   CHECK(HostOf(guilty) != HostOf(sound));
   harness.Survive(HostOf(sound));
-  CHECK(TaskOf(guilty).crashes.front().sole);
+  CHECK(TaskOf(guilty).crashes.front().evidence == CrashEvidence::kSole);
   CHECK_FALSE(TaskOf(sound).suspect());
   harness.Crash(HostOf(guilty));
   harness.Write();
   CHECK(harness.scheduler().StateOf(guilty) == JobState::kFailed);
 }
+
+TEST(Crash, AgentThatRestartsWhileItsWorkerIsDownHidesNoCrash) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  const std::string host = HostOf(job);
+  HostReport& report = harness.report(host);
+  const HostReport before = report;
+  report.agent = Incarnation(2);
+  report.incarnation.reset();
+  report.worker_reachable = false;
+  harness.Report(host);
+  report.incarnation = before.incarnation;
+  report.worker_reachable = true;
+  harness.Restart(host);
+  LONGS_EQUAL(1, TaskOf(job).crashes.size());
+}
+
+TEST(Crash, CrashWhileOwnerAndAgentAreReplacedCounts) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  int starts = 0;
+  for (std::uint64_t epoch = 2; epoch < 12; ++epoch) {
+    harness.RunUnprovenRound();
+    const auto hosts = harness.HostsOf(job);
+    if (hosts.empty()) {
+      break;
+    }
+    ++starts;
+    harness.TakeOver(epoch);
+    harness.report(hosts.front()).agent = Incarnation(epoch);
+    harness.Restart(hosts.front());
+    for (const char* host : {"a", "b", "c", "d"}) {
+      harness.Report(host);
+    }
+    harness.Write();
+  }
+  LONGS_EQUAL(5, starts);
+  CHECK(harness.scheduler().StateOf(job) == JobState::kFailed);
+}
+
+TEST(Crash, ARunIsSuspectedOfOneCrashOnly) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  const std::string host = HostOf(job);
+  const TaskRun run = MakeRun(job, 0, 1);
+  harness.Crash(host);
+  harness.report(host).unproven = {run};
+  harness.Crash(host);
+  LONGS_EQUAL(1, TaskOf(job).crashes.size());
+}
+
+TEST(Crash, TaskThatWasClearedIsNotSuspectedByARepeatedReport) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  const std::string first = HostOf(job);
+  CrashUnder(job);
+  harness.RunUnprovenRound();
+  const std::string second = HostOf(job);
+  CHECK(first != second);
+  harness.Survive(second);
+  CHECK_FALSE(TaskOf(job).suspect());
+  harness.Write();
+  harness.TakeOver(2);
+  harness.Report(first);
+  LONGS_EQUAL(0, TaskOf(job).crashes.size());
+}
+
+TEST(Crash, StartsThatWereNotConfirmedDoNotConvict) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  for (int round = 0; round < 3; ++round) {
+    harness.RunUnprovenRound();
+    const std::string host = HostOf(job);
+    HostReport& report = harness.report(host);
+    report.crash = WorkerCrash{*report.incarnation, {}, report.unproven};
+    harness.Restart(host);
+  }
+  LONGS_EQUAL(3, TaskOf(job).crashes.size());
+  CHECK(harness.scheduler().StateOf(job) != JobState::kFailed);
+}
