Soak crashing tasks, and prove the verdict with real processes

The randomised runs of owner and agents get jobs whose tasks crash each worker that starts them, among killed and frozen agents and owners, lost messages and store outages. They check that a task is not started a third time, by agents in touch, after three crashes, and that a job is only given up after a failed attempt or two workers that crashed under one of its tasks.

--- a/packages/hosting/simulation/protocol_simulation.cc
+++ b/packages/hosting/simulation/protocol_simulation.cc
@@ -254,12 +254,18 @@
     return Exchange(
         host, *start,
         [](SimulatedWorker& worker, const StartCall& worker_call) {
-          return worker.Start(worker_call);
+          const StartAnswer answer = worker.Start(worker_call);
+          return std::make_pair(answer, worker.Now());
         },
-        [worker_call = *start](HostSupervisor& agent,
-                               const std::optional<StartAnswer>& answer) {
-          agent.OnStartAnswered(worker_call,
-                                answer.value_or(StartAnswer::kUnanswered));
+        [worker_call = *start](
+            HostSupervisor& agent,
+            const std::optional<std::pair<StartAnswer, WorkerInstant>>&
+                answer) {
+          if (answer) {
+            agent.OnStartAnswered(worker_call, answer->first, answer->second);
+          } else {
+            agent.OnStartAnswered(worker_call, StartAnswer::kUnanswered);
+          }
         });
   }
   if (const auto* stop = std::get_if<StopCall>(&call)) {
@@ -344,10 +350,12 @@
       // An agent is killed and restarts later.
       agent.supervisor.reset();
       agent.down_until = until;
+      m_agent_undisturbed_at[host] = until;
       break;
     case 5:
       // An agent is suspended.
       agent.frozen_until = until;
+      m_agent_undisturbed_at[host] = until;
       break;
     case 6:
       m_workers.at(host)->Crash();
@@ -376,6 +384,14 @@
   }
 }
 
+bool ProtocolSimulation::InTouch(const HostId& host) const {
+  constexpr Duration kContact{3000};
+  const auto undisturbed = m_agent_undisturbed_at.find(host);
+  return m_clock.Now() >= m_store_available_at + kContact &&
+         (undisturbed == m_agent_undisturbed_at.end() ||
+          m_clock.Now() >= undisturbed->second + kContact);
+}
+
 void ProtocolSimulation::EnsureOwner() {
   const Instant now = m_clock.Now();
   const bool owned = std::any_of(
@@ -408,6 +424,10 @@
   record.policy.max_attempts = 3;
   record.spec =
       RandomJobSpec([this](int min, int max) { return Random(min, max); });
+  if (m_settings.crashing_job_every > 0 &&
+      number % m_settings.crashing_job_every == 0) {
+    record.spec.payload = kCrashingPayload;
+  }
   m_oracle.AddJob(record);
   m_store.jobs[record.id] = record;
   for (SimulatedEntry& entry : m_entries) {
@@ -453,6 +473,16 @@
     for (const auto& [id, job] : entry.owner->scheduler().jobs()) {
       const bool completed = job->visible_state() == JobState::kCompleted;
       m_report.completed += completed ? 1 : 0;
+      const bool failed = job->visible_state() == JobState::kFailed;
+      const bool crashing = job->spec().payload == kCrashingPayload;
+      m_report.given_up += failed && crashing ? 1 : 0;
+      if (failed && !m_oracle.MayBeGivenUp(id)) {
+        throw Violation(id.value() +
+                        " is reported as failed, but no task has failed");
+      }
+      if (failed && !crashing && !m_oracle.AnyFailure(id)) {
+        ++m_report.sound_given_up;
+      }
       if (completed && !m_oracle.AllTasksDone(id)) {
         throw Violation(id.value() +
                         " is reported as completed, but a task is not done");
--- a/packages/hosting/simulation/protocol_simulation.h
+++ b/packages/hosting/simulation/protocol_simulation.h
@@ -23,6 +23,9 @@
   int entries = 3;
   int hosts = 4;
   int jobs = 24;
+  /// Every so many jobs, the tasks of one crash the workers that start them; 0:
+  /// of none.
+  int crashing_job_every = 0;
   /// The times that owners and agents use. They must agree; tests of the oracle
   /// set them apart.
   LeaseTimes owner_times;
@@ -38,6 +41,11 @@
   int faults = 0;
   int takeovers = 0;
   int completed = 0;  ///< Jobs that are reported as completed.
+  /// Jobs reported as failed whose tasks crash their workers.
+  int given_up = 0;
+  /// Other jobs that were given up: workers crashed by themselves just after
+  /// they had started their tasks.
+  int sound_given_up = 0;
 };
 
 /// One randomised run of the real `Scheduler` and `HostSupervisor` against a
@@ -103,6 +111,9 @@
   void CheckOutcome();
   /// @returns whether the present owner shows each job as ended.
   bool AllJobsEnded() const;
+  /// @returns whether the agent and the store have been undisturbed for the
+  /// time after which the promises with a time limit hold.
+  bool InTouch(const HostId& host) const;
   void Trace(const std::string& text) const;
   /// @returns a number from `min` to `max`, both included.
   int Random(int min, int max);
@@ -111,7 +122,7 @@
   const ProtocolSettings m_settings;
   std::mt19937_64 m_random;
   ManualClock m_clock;
-  TaskOracle m_oracle;
+  TaskOracle m_oracle{[this](const HostId& host) { return InTouch(host); }};
   SimulatedStore m_store;
   std::map<HostId, std::unique_ptr<SimulatedWorker>> m_workers;
   std::map<HostId, SimulatedAgent> m_agents;
@@ -119,6 +130,7 @@
   std::multimap<Instant, std::function<void()>> m_scheduled_actions;
   std::map<std::pair<std::string, std::string>, Instant> m_cut_links;
   Instant m_store_available_at;
+  std::map<HostId, Instant> m_agent_undisturbed_at;
   Instant m_late_calls_until;
   Instant m_ownerless_since;
   int m_submitted_jobs = 0;
--- a/packages/hosting/simulation/randomised_runs_test.cc
+++ b/packages/hosting/simulation/randomised_runs_test.cc
@@ -46,6 +46,23 @@
   }
 }
 
+TEST(ProtocolRuns, TasksThatCrashTheirWorkersAreGivenUpUnderAllFaults) {
+  int given_up = 0;
+  for (std::uint64_t seed = 1; seed <= kMaxSeeds; ++seed) {
+    ProtocolSettings settings;
+    settings.seed = seed;
+    settings.crashing_job_every = 4;
+    std::string violation_text;
+    try {
+      given_up += ProtocolSimulation(settings).Run().given_up;
+    } catch (const Violation& violation) {
+      violation_text = "seed " + std::to_string(seed) + ": " + violation.what();
+    }
+    STRCMP_EQUAL("", violation_text.c_str());
+  }
+  CHECK(given_up > 0);
+}
+
 TEST(ProtocolRuns, CatchesAnOwnerThatDoesNotWaitForTheLease) {
   ProtocolSettings settings;
   settings.owner_times.lease = Duration(1000);
--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -34,6 +34,9 @@
       Now().milliseconds > m_lease_until_ms && !m_faults.ignores_leases;
   const auto runs = m_runs;
   for (const auto& [id, run] : runs) {
+    if (run.crashes) {
+      return Crash();
+    }
     if (expired) {
       End(id, EndKind::kLeaseExpired);
     } else if ((m_runs[id].left -= duration) <= Duration(0)) {
@@ -53,6 +56,7 @@
 
 void SimulatedWorker::Crash() {
   for (const auto& [id, run] : m_runs) {
+    m_oracle.OnCrashed(id, run.crashes);
     m_oracle.OnEnded(id, m_host, EndKind::kLeaseExpired);
   }
   m_runs.clear();
@@ -62,6 +66,9 @@
   m_announcements = 0;
   m_fence = Epoch();
   m_lease_until_ms = 0;
+  if (m_faults.clock_restarts) {
+    m_clock_ms = 0;
+  }
   m_incarnation = WorkerIncarnation(m_incarnation.value() + 1);
 }
 
@@ -116,6 +123,7 @@
     return StartAnswer::kNoRoom;
   }
   m_oracle.OnStarted(id, m_host);
+  m_runs[id].crashes = call.order.payload == kCrashingPayload;
   m_runs[id].left = Duration(
       std::uniform_int_distribution<int>(kMinRunMs, kMaxRunMs)(m_random));
   return StartAnswer::kStarted;
--- a/packages/hosting/simulation/simulated_worker.h
+++ b/packages/hosting/simulation/simulated_worker.h
@@ -14,6 +14,7 @@
 struct WorkerFaults {
   bool ignores_leases = false;     ///< Runs continue after the lease expired.
   bool ignores_deadlines = false;  ///< Starts are accepted after `not_after`.
+  bool clock_restarts = false;     ///< Each incarnation's clock begins at 0.
   double failure_probability = 0.03;  ///< Of each run.
 };
 
@@ -38,18 +39,20 @@
   bool Stop(const StopCall& call);
 
   WorkerFacts Facts() const;
+  /// @returns the present time on the worker's clock.
+  WorkerInstant Now() const;
   std::uint64_t NextAnnouncement() { return ++m_announcements; }
 
  private:
   struct Run {
     Duration left{0};
+    bool crashes = false;  ///< It crashes the worker at once.
   };
 
   /// Remembers the newest token.
   /// @returns whether `token` is older than it, so that the call is refused.
   bool Fenced(Epoch token);
   void End(const TaskRun& id, EndKind how);
-  WorkerInstant Now() const;
 
   const HostId m_host;
   TaskOracle& m_oracle;
--- a/packages/hosting/simulation/soak_main.cc
+++ b/packages/hosting/simulation/soak_main.cc
@@ -14,14 +14,24 @@
       ->check(CLI::PositiveNumber);
   bool trace = false;
   app.add_flag("--trace", trace, "Print each decision and each fault");
+  int crashing_job_every = 0;
+  app.add_option("--crashing-job-every", crashing_job_every,
+                 "The tasks of every so many jobs crash their workers");
+  bool clock_restarts = false;
+  app.add_flag("--clock-restarts", clock_restarts,
+               "The clock of each worker incarnation begins at 0");
   CLI11_PARSE(app, argc, argv);
   using namespace zinniacart::simulation;
   std::size_t starts = 0;
   int faults = 0;
   int takeovers = 0;
+  int given_up = 0;
+  int sound_given_up = 0;
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
     ProtocolSettings settings;
     settings.seed = seed;
+    settings.crashing_job_every = crashing_job_every;
+    settings.worker.clock_restarts = clock_restarts;
     if (trace) {
       settings.trace = [](const std::string& line) {
         std::cout << line << '\n';
@@ -32,12 +42,15 @@
       starts += report.starts;
       faults += report.faults;
       takeovers += report.takeovers;
+      given_up += report.given_up;
+      sound_given_up += report.sound_given_up;
     } catch (const Violation& violation) {
       std::cerr << "seed " << seed << ": " << violation.what() << '\n';
       return 1;
     }
   }
   std::cout << seeds << " seeds, " << starts << " starts, " << faults
-            << " faults, " << takeovers
-            << " takeovers: no guarantee violated\n";
+            << " faults, " << takeovers << " takeovers, " << given_up
+            << " crashing jobs and " << sound_given_up
+            << " others given up: no guarantee violated\n";
 }
--- a/packages/hosting/simulation/task_oracle.cc
+++ b/packages/hosting/simulation/task_oracle.cc
@@ -1,6 +1,19 @@
 #include "hosting/simulation/task_oracle.h"
 
+#include <algorithm>
+
 namespace zinniacart::simulation {
+namespace {
+
+/// After this many crashes a task may be started only a few times more by
+/// agents that are in touch: while agents and the store fail, not every crash
+/// is seen at once.
+constexpr int kCrashesOfGuilty = 3;
+constexpr int kStartsTooMany = 3;
+/// A task under which this many workers have crashed may be given up.
+constexpr int kLostWorkersOfGuilty = 2;
+
+}  // namespace
 
 void TaskOracle::OnStarted(const TaskRun& id, const HostId& host) {
   ++m_starts;
@@ -20,6 +33,11 @@
   if (m_recorded_failures[id.task] >= job.policy.max_attempts) {
     throw Violation(name + " started after its last attempt failed");
   }
+  if (m_crashes[id.task] >= kCrashesOfGuilty && m_in_touch(host) &&
+      ++m_starts_after_crashes[id.task] >= kStartsTooMany) {
+    throw Violation(name + " started again and again after it has crashed " +
+                    std::to_string(m_crashes[id.task]) + " workers");
+  }
   CheckDependencies(id.task);
   hosts.insert(host);
 }
@@ -42,9 +60,25 @@
   m_running[id.task].erase(host);
   if (how == EndKind::kDone) {
     m_done.insert(id.task);
+  } else if (how == EndKind::kFailed) {
+    m_failed.insert(id.task.job);
   }
 }
 
+void TaskOracle::OnCrashed(const TaskRun& id, bool guilty) {
+  ++m_lost_workers[id.task];
+  m_crashes[id.task] += guilty ? 1 : 0;
+}
+
+bool TaskOracle::MayBeGivenUp(const JobId& job) const {
+  return m_failed.contains(job) ||
+         std::any_of(m_lost_workers.begin(), m_lost_workers.end(),
+                     [&job](const auto& entry) {
+                       return entry.first.job == job &&
+                              entry.second >= kLostWorkersOfGuilty;
+                     });
+}
+
 void TaskOracle::OnEndRecorded(const TaskRun& id, EndKind how) {
   if (how == EndKind::kDone) {
     m_recorded_done.insert(id.task);
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -188,6 +188,64 @@
             site.workers[0].restart()
             self.completes(site, job)
 
+    def test_a_task_that_crashes_its_workers_is_given_up_and_no_other(self):
+        step = {"count": 1, "cpu": 500, "mem_mb": 100, "estimate_ms": 200}
+        with PlatformSite(entries=3, hosts=4) as site:
+            def crashes():
+                return sum(worker.crashes for worker in site.workers)
+
+            sound = [site.submit(STEPS, seconds=0.5) for _ in range(4)]
+            guilty = site.submit([step], seconds=-1)
+            sound += [site.submit(STEPS, seconds=0.5) for _ in range(4)]
+            # What is suspected outlives the owner and the agent.
+            wait_for("a worker crashes", crashes)
+            crashed = next(n for n, worker in enumerate(site.workers) if worker.crashes)
+            site.agents[crashed].kill()
+            site.agents[crashed].start_first()
+            owner = site.owner()
+            owner.kill()
+            other = next(n for n, entry in enumerate(site.entries) if entry is not owner)
+            wait_for("the job is given up", lambda: site.state(guilty, other) == "failed")
+            self.assertLessEqual(len(site.runs(guilty)), 5)
+            self.assertGreaterEqual(crashes(), 2)
+            for job in sound:
+                self.completes(site, job, other)
+            # The operator finds the crashed workers by the task's id.
+            verdict = wait_for("the verdict is logged", lambda: next(
+                (line for entry in site.entries
+                 for line in entry.log_path.read_text().splitlines()
+                 if guilty in line and "the task crashes the workers" in line), None))
+            named = [worker for number, worker in enumerate(site.workers)
+                     if f"host-{number}" in verdict]
+            self.assertGreaterEqual(len(named), 2)
+            self.assertTrue(all(worker.crashes for worker in named))
+
+    def test_a_worker_that_fails_by_itself_blames_no_task(self):
+        step = {"count": 160, "cpu": 500, "mem_mb": 100, "estimate_ms": 400}
+        with PlatformSite(hosts=2) as site:
+            job = site.submit([step], seconds=0.4)
+            for _ in range(3):
+                wait_for("a task runs", lambda: site.workers[0].running)
+                site.workers[0].crash()
+            self.completes(site, job)
+
+    def test_a_capacity_that_shrinks_and_grows_is_kept_to(self):
+        step = {"count": 12, "cpu": 1000, "mem_mb": 100, "estimate_ms": 500}
+        with PlatformSite(hosts=1, cores=4) as site:
+            worker = site.workers[0]
+            worker.guards_capacity = False
+            job = site.submit([step], seconds=0.8)
+            wait_for("the worker is full", lambda: len(worker.running) == 4)
+            worker.capacity = dict(worker.capacity, cpu=2000)
+            known = time.time() + 1.0  # An announcement and its way to the owner.
+            wait_for("tasks run in what is left",
+                     lambda: time.time() > known and 0 < len(worker.running) <= 2)
+            late = [start for start in worker.overfilled if start[0] > known]
+            worker.capacity = dict(worker.capacity, cpu=4000)
+            wait_for("the worker is full again", lambda: len(worker.running) > 2)
+            self.completes(site, job)
+            self.assertEqual([], late)
+
     def test_orders_carried_out_late_start_nothing(self):
         with PlatformSite() as site:
             site.workers[0].answer_late = 1.5
