Do not release a run whose repeated start was refused

What callers would see: a task runs twice at a time.

Cause: a worker begins a run on the call of an agent that dies, and refuses the same start from the next agent, for instance as that call carries an older fencing token. The report then says refused and lists the run; the owner looked at the refusal only, placed the task elsewhere and stopped the run later.

Change: a refusal counts only if the same report does not list the run.

--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -111,7 +111,11 @@
   if (m_runs.contains(id)) {
     return StartAnswer::kStarted;
   }
-  if (m_newest_closed_run[id.task] >= id.run) {
+  const bool newer_runs =
+      std::any_of(m_runs.begin(), m_runs.end(), [&id](const auto& entry) {
+        return entry.first.task == id.task && entry.first.run > id.run;
+      });
+  if (newer_runs || m_newest_closed_run[id.task] >= id.run) {
     return StartAnswer::kStaleRun;
   }
   m_lease_until_ms = std::max(m_lease_until_ms, call.not_after.milliseconds);
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -242,7 +242,8 @@
       case OrderOutcome::kRefused:
       case OrderOutcome::kNoCapacity:
       case OrderOutcome::kNoTicket:
-        if (!run.started) {
+        // The worker may have begun it on an earlier call.
+        if (!run.started && !IsListed(report, result.id)) {
           if (result.outcome == OrderOutcome::kNoCapacity) {
             host.refused_capacity_at = m_clock.Now();
           }
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -584,3 +584,21 @@
   STRCMP_EQUAL(checkpoint.c_str(),
                harness.Orders("a").starts.at(0).resume_from.value().c_str());
 }
+
+TEST(Scheduler, ARefusedRepetitionOfAStartDoesNotReleaseTheRunThatItBegan) {
+  harness.AddHost("a", 4);
+  harness.AddHost("b", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  LONGS_EQUAL(1, harness.Orders("a").starts.size());
+  // The worker has begun it on the call of an agent that died since, and
+  // refuses the call of the next agent.
+  harness.report("a").running = {RunningTask{MakeRun(job, 0, 1), {}, 0, 0}};
+  harness.report("a").results = {
+      OrderResult{MakeRun(job, 0, 1), OrderOutcome::kRefused}};
+  harness.Report("a");
+  harness.RunRound();
+  LONGS_EQUAL(1, harness.HostsOf(job).size());
+  STRCMP_EQUAL("a", harness.HostsOf(job).front().c_str());
+}
