Do not confirm a start by the answer of the next incarnation

What callers would see: a task is given up although it was on one worker that crashed, not on two.

Cause: the answer to a start does not name the incarnation. An agent that had not yet heard of the crash took the next one's answer for the last one's and named the run as seen at work there.

Change: an answer whose clock is older than the newest list leaves the start unconfirmed until a list shows the run.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -333,9 +333,12 @@
 void HostSupervisor::ShowStarted(const TaskRun& id,
                                  std::optional<WorkerInstant> clock) {
   const auto trial = m_trials.find(id);
-  if (trial != m_trials.end() && !trial->second.shown_at) {
-    trial->second.shown_at = clock.value_or(WorkerNow());
+  // The clock of the next incarnation, which may have begun it, begins anew.
+  const bool next_incarnation = clock && *clock < m_worker_clock;
+  if (trial == m_trials.end() || trial->second.shown_at || next_incarnation) {
+    return;
   }
+  trial->second.shown_at = clock.value_or(WorkerNow());
 }
 
 void HostSupervisor::OnStopAnswered(const StopCall& call, bool answered) {
--- a/packages/hosting/tests/host_supervisor_test.cc
+++ b/packages/hosting/tests/host_supervisor_test.cc
@@ -344,3 +344,15 @@
   AnswerHolds();
   CHECK(supervisor.MakeReport().crash->suspects.empty());
 }
+
+TEST(HostSupervisor, AStartThatTheNextIncarnationAnsweredIsUnconfirmed) {
+  Attach();
+  OrderStart(MakeRun("job", 1));
+  supervisor.OnStartAnswered(TakeStart(), StartAnswer::kStarted,
+                             WorkerInstant{1000});
+  lists.incarnation = kNextIncarnation;
+  lists.clock = WorkerInstant{1001};
+  clock.Advance(settings.hold_wait);
+  AnswerHolds();
+  CHECK(supervisor.MakeReport().crash->suspects.empty());
+}
