Soak capacities that shrink and grow, gangs and perpetual tasks that crash

Workers of the randomised runs that do not check their capacity let it shrink and grow under running work, among all other faults. A start by an agent in touch may not bring one over what it has announced 4 s before (3 s and one announcement).

--- a/packages/hosting/simulation/protocol_simulation.cc
+++ b/packages/hosting/simulation/protocol_simulation.cc
@@ -8,6 +8,8 @@
 
 constexpr Duration kTick{10};
 constexpr Duration kAnnouncementInterval{1000};
+/// Promises with a time limit hold after this time without a disturbance.
+constexpr Duration kContact{3000};
 /// An entry takes over after this time without an owner.
 constexpr Duration kOwnerlessTimeout{600};
 constexpr double kLossProbability = 0.01;
@@ -96,6 +98,9 @@
     Tick(true);
   }
   m_cut_links.clear();
+  for (auto& [host, worker] : m_workers) {
+    worker->SetCapacity(kFullMillicores, m_clock.Now());
+  }
   while (m_clock.Now() < end && !AllJobsEnded()) {
     Tick(false);
   }
@@ -122,6 +127,9 @@
     ++m_report.faults;
     InjectFault();
   }
+  if (faulty && m_settings.capacity_changes && Chance(kFaultProbability)) {
+    ChangeCapacity();
+  }
   const Duration interval = m_settings.fault_period / m_settings.jobs;
   if (m_submitted_jobs < m_settings.jobs &&
       m_clock.Now() >= Instant{100000} + interval * m_submitted_jobs) {
@@ -384,8 +392,15 @@
   }
 }
 
+void ProtocolSimulation::ChangeCapacity() {
+  const HostId host("host-" + std::to_string(Random(0, m_settings.hosts - 1)));
+  const int millicores = Random(0, kFullMillicores);
+  Trace(host.value() + " has " + std::to_string(millicores) + " millicores");
+  m_workers.at(host)->SetCapacity(
+      millicores, m_clock.Now() + kContact + kAnnouncementInterval);
+}
+
 bool ProtocolSimulation::InTouch(const HostId& host) const {
-  constexpr Duration kContact{3000};
   const auto undisturbed = m_agent_undisturbed_at.find(host);
   return m_clock.Now() >= m_store_available_at + kContact &&
          (undisturbed == m_agent_undisturbed_at.end() ||
--- a/packages/hosting/simulation/protocol_simulation.h
+++ b/packages/hosting/simulation/protocol_simulation.h
@@ -26,6 +26,8 @@
   /// Every so many jobs, the tasks of one crash the workers that start them; 0:
   /// of none.
   int crashing_job_every = 0;
+  /// The capacities of workers shrink and grow. They should ignore it.
+  bool capacity_changes = false;
   /// The times that owners and agents use. They must agree; tests of the oracle
   /// set them apart.
   LeaseTimes owner_times;
@@ -103,6 +105,7 @@
             const std::string& peer,
             std::function<void()> action);
   void InjectFault();
+  void ChangeCapacity();
   /// Lets a random entry take over if there has been no owner for a while.
   void EnsureOwner();
   void SubmitJob(int number);
@@ -122,7 +125,8 @@
   const ProtocolSettings m_settings;
   std::mt19937_64 m_random;
   ManualClock m_clock;
-  TaskOracle m_oracle{[this](const HostId& host) { return InTouch(host); }};
+  TaskOracle m_oracle{m_clock,
+                      [this](const HostId& host) { return InTouch(host); }};
   SimulatedStore m_store;
   std::map<HostId, std::unique_ptr<SimulatedWorker>> m_workers;
   std::map<HostId, SimulatedAgent> m_agents;
--- a/packages/hosting/simulation/randomised_runs_test.cc
+++ b/packages/hosting/simulation/randomised_runs_test.cc
@@ -63,6 +63,23 @@
   CHECK(given_up > 0);
 }
 
+TEST(ProtocolRuns, CapacitiesThatShrinkAndGrowAreKeptToUnderAllFaults) {
+  ProtocolSettings settings;
+  settings.capacity_changes = true;
+  settings.worker.ignores_capacity = true;
+  STRCMP_EQUAL("", FirstViolation(settings).value_or("").c_str());
+}
+
+TEST(ProtocolRuns, CatchesWorkersThatDoNotAnnounceTheirCapacity) {
+  ProtocolSettings settings;
+  settings.capacity_changes = true;
+  settings.worker.ignores_capacity = true;
+  settings.worker.hides_capacity = true;
+  const auto violation_text = FirstViolation(settings);
+  CHECK(violation_text.has_value());
+  STRCMP_CONTAINS("brings it to", violation_text->c_str());
+}
+
 TEST(ProtocolRuns, CatchesAnOwnerThatDoesNotWaitForTheLease) {
   ProtocolSettings settings;
   settings.owner_times.lease = Duration(1000);
--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -8,7 +8,6 @@
 constexpr std::int64_t kMaxLeaseMs = 10000;
 constexpr int kMinRunMs = 200;
 constexpr int kMaxRunMs = 9000;
-constexpr std::int64_t kMillicores = 4000;
 constexpr std::int64_t kMemoryMb = 8000;
 
 }  // namespace
@@ -54,6 +53,11 @@
   m_oracle.OnEnded(id, m_host, how);
 }
 
+void SimulatedWorker::SetCapacity(std::int64_t millicores, Instant settled_at) {
+  m_millicores = millicores;
+  m_capacity_settled_at = settled_at;
+}
+
 void SimulatedWorker::Crash() {
   for (const auto& [id, run] : m_runs) {
     m_oracle.OnCrashed(id, run.crashes);
@@ -123,10 +127,17 @@
     return StartAnswer::kTooLate;
   }
   constexpr std::size_t kMaxConcurrentRuns = 4;
-  if (m_runs.size() >= kMaxConcurrentRuns) {
+  if (m_runs.size() >= kMaxConcurrentRuns && !m_faults.ignores_capacity) {
     return StartAnswer::kNoRoom;
   }
   m_oracle.OnStarted(id, m_host);
+  if (m_faults.ignores_capacity) {
+    std::vector<TaskKey> tasks{id.task};
+    for (const auto& [running, run] : m_runs) {
+      tasks.push_back(running.task);
+    }
+    m_oracle.CheckCapacity(tasks, m_host, m_millicores, m_capacity_settled_at);
+  }
   m_runs[id].crashes = call.order.payload == kCrashingPayload;
   m_runs[id].left = Duration(
       std::uniform_int_distribution<int>(kMinRunMs, kMaxRunMs)(m_random));
@@ -151,7 +162,8 @@
   facts.incarnation = m_incarnation;
   facts.domain = DomainId("domain");
   facts.service = ServiceId("service");
-  facts.capacity = Resources{kMillicores, kMemoryMb, 0};
+  facts.capacity = Resources{
+      m_faults.hides_capacity ? kFullMillicores : m_millicores, kMemoryMb, 0};
   return facts;
 }
 
--- a/packages/hosting/simulation/simulated_worker.h
+++ b/packages/hosting/simulation/simulated_worker.h
@@ -10,10 +10,15 @@
 
 namespace zinniacart::simulation {
 
+/// Capacity of a worker that has not shrunk.
+inline constexpr std::int64_t kFullMillicores = 4000;
+
 /// Faulty behaviour of a worker.
 struct WorkerFaults {
   bool ignores_leases = false;     ///< Runs continue after the lease expired.
   bool ignores_deadlines = false;  ///< Starts are accepted after `not_after`.
+  bool ignores_capacity = false;   ///< Every start is accepted.
+  bool hides_capacity = false;     ///< Changes of it are not announced.
   bool clock_restarts = false;     ///< Each incarnation's clock begins at 0.
   double failure_probability = 0.03;  ///< Of each run.
 };
@@ -31,6 +36,9 @@
 
   /// Advances simulated time by `duration`.
   void Advance(Duration duration);
+  /// From now on the worker announces and has this capacity.
+  /// @param settled_at when starts beyond it count as violations.
+  void SetCapacity(std::int64_t millicores, Instant settled_at);
   /// Ends all runs and restarts the worker as a new incarnation without state.
   void Crash();
 
@@ -60,6 +68,8 @@
   const double m_clock_speed;
   std::mt19937_64 m_random;
   double m_clock_ms = 100000;
+  std::int64_t m_millicores = kFullMillicores;
+  Instant m_capacity_settled_at;
   WorkerIncarnation m_incarnation{1000};
   std::uint64_t m_announcements = 0;
   Epoch m_fence;
--- a/packages/hosting/simulation/soak_main.cc
+++ b/packages/hosting/simulation/soak_main.cc
@@ -17,6 +17,9 @@
   int crashing_job_every = 0;
   app.add_option("--crashing-job-every", crashing_job_every,
                  "The tasks of every so many jobs crash their workers");
+  bool capacity_changes = false;
+  app.add_flag("--capacity-changes", capacity_changes,
+               "The capacities of workers shrink and grow; they ignore it");
   bool clock_restarts = false;
   app.add_flag("--clock-restarts", clock_restarts,
                "The clock of each worker incarnation begins at 0");
@@ -31,6 +34,8 @@
     ProtocolSettings settings;
     settings.seed = seed;
     settings.crashing_job_every = crashing_job_every;
+    settings.capacity_changes = capacity_changes;
+    settings.worker.ignores_capacity = capacity_changes;
     settings.worker.clock_restarts = clock_restarts;
     if (trace) {
       settings.trace = [](const std::string& line) {
--- a/packages/hosting/simulation/task_oracle.cc
+++ b/packages/hosting/simulation/task_oracle.cc
@@ -42,6 +42,21 @@
   hosts.insert(host);
 }
 
+void TaskOracle::CheckCapacity(const std::vector<TaskKey>& tasks,
+                               const HostId& host,
+                               std::int64_t millicores,
+                               Instant settled_at) const {
+  std::int64_t used = 0;
+  for (const TaskKey& task : tasks) {
+    used += m_jobs.at(task.job).spec.steps.at(task.step).demand.millicores;
+  }
+  if (used > millicores && m_clock.Now() > settled_at && m_in_touch(host)) {
+    throw Violation(tasks.front().ToString() + " started at " + host.value() +
+                    " brings it to " + std::to_string(used) + " of " +
+                    std::to_string(millicores) + " millicores");
+  }
+}
+
 void TaskOracle::CheckDependencies(const TaskKey& task) const {
   const JobSpec& spec = m_jobs.at(task.job).spec;
   for (const std::uint32_t earlier : spec.steps.at(task.step).after) {
--- a/packages/hosting/simulation/task_oracle.h
+++ b/packages/hosting/simulation/task_oracle.h
@@ -6,7 +6,9 @@
 #include <stdexcept>
 #include <string>
 #include <utility>
+#include <vector>
 
+#include "base/clock.h"
 #include "jobs/job_record.h"
 #include "scheduling/host_messages.h"
 
@@ -29,12 +31,19 @@
  public:
   /// @param in_touch returns whether the host's agent and the store have been
   ///                 undisturbed for a while.
-  explicit TaskOracle(std::function<bool(const HostId&)> in_touch)
-      : m_in_touch(std::move(in_touch)) {}
+  TaskOracle(const Clock& clock, std::function<bool(const HostId&)> in_touch)
+      : m_clock(clock), m_in_touch(std::move(in_touch)) {}
 
   void AddJob(const JobRecord& record) { m_jobs[record.id] = record; }
 
   void OnStarted(const TaskRun& id, const HostId& host);
+  /// Called after a start that the worker did not check itself.
+  /// @param tasks      all tasks at work on the worker.
+  /// @param settled_at when a change of the capacity begins to count.
+  void CheckCapacity(const std::vector<TaskKey>& tasks,
+                     const HostId& host,
+                     std::int64_t millicores,
+                     Instant settled_at) const;
   void OnEnded(const TaskRun& id, const HostId& host, EndKind how);
   /// The run's worker has crashed under it.
   /// @param guilty whether the run was the cause.
@@ -54,6 +63,7 @@
  private:
   void CheckDependencies(const TaskKey& task) const;
 
+  const Clock& m_clock;
   const std::function<bool(const HostId&)> m_in_touch;
   std::map<JobId, JobRecord> m_jobs;
   std::map<TaskKey, std::set<HostId>> m_running;
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -399,3 +399,35 @@
   LONGS_EQUAL(3, TaskOf(job).crashes.size());
   CHECK(harness.scheduler().StateOf(job) != JobState::kFailed);
 }
+
+TEST(Crash, GangThatCrashesItsHostsIsGivenUp) {
+  StepSpec step = MakeStep(2, 5000);
+  step.gang = true;
+  const JobId job = harness.AddJob("gang", step);
+  int rounds = 0;
+  for (; rounds < 10; ++rounds) {
+    harness.RunUnprovenRound();
+    const auto hosts = harness.HostsOf(job);
+    if (hosts.empty()) {
+      break;
+    }
+    for (const std::string& host : std::set(hosts.begin(), hosts.end())) {
+      harness.Crash(host);
+    }
+  }
+  CHECK(rounds <= kMostCrashes);
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(job) == JobState::kFailed);
+}
+
+TEST(Crash, PerpetualTaskThatCrashesItsWorkersIsGivenUp) {
+  StepSpec step = MakeStep(1, 1000);
+  step.perpetual = true;
+  const JobId job = harness.AddJob("perpetual", step);
+  for (int round = 0; round < 2; ++round) {
+    harness.RunUnprovenRound();
+    CrashUnder(job);
+  }
+  harness.Write();
+  CHECK(harness.scheduler().StateOf(job) == JobState::kFailed);
+}
