Exonerate a cleared suspect also after a takeover

What callers would see: a task that crashes its workers costs one more of them after a change of owner.

Cause: an agent repeats the last crash to a new owner with all the runs it had named. A suspect that had been cleared before was entered again, could not be cleared a second time, and kept the crash shared.

Change: runs whose tasks are done, or were cleared by that run or a newer one, are left out.

Evidence: SuspectThatWasClearedIsNoSuspectForTheNextOwner fails without the change. A run that a verdict has released is no longer looked up when its worker has restarted; no way there is known.

--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -175,10 +175,10 @@
   /// Records which tasks are suspected of the crash. Gives up the jobs of those
   /// that are guilty.
   void HandleCrash(Host& host, WorkerCrash crash);
-  /// @returns whether the run is recorded as a suspect of a crash of another
-  /// worker incarnation. A run can have crashed one worker only.
-  bool IsSuspectOfAnother(const TaskRun& id,
-                          const WorkerIncarnation& incarnation);
+  /// @returns whether the run cannot be the cause of the crash of a worker
+  /// incarnation: its task has been cleared since, or it is a suspect of another
+  /// crash. A run can have crashed one worker only.
+  bool IsExonerated(const TaskRun& id, const WorkerIncarnation& incarnation);
   void SuspectOf(const TaskRun& id, const SuspectedCrash& crash);
   /// @returns whether the host may be unresponsive because of the run, which
   /// had just been started. It must not be started elsewhere before that is
--- a/packages/scheduling/scheduler_crashes.cc
+++ b/packages/scheduling/scheduler_crashes.cc
@@ -35,7 +35,7 @@
   host.examined = crash.incarnation;
   for (auto* runs : {&crash.suspects, &crash.unconfirmed}) {
     std::erase_if(*runs, [&](const TaskRun& id) {
-      return IsSuspectOfAnother(id, crash.incarnation);
+      return IsExonerated(id, crash.incarnation);
     });
   }
   std::set<JobId> jobs;
@@ -69,11 +69,14 @@
   }
 }
 
-bool Scheduler::IsSuspectOfAnother(const TaskRun& id,
-                                   const WorkerIncarnation& incarnation) {
+bool Scheduler::IsExonerated(const TaskRun& id,
+                             const WorkerIncarnation& incarnation) {
   Job* job = FindJob(id.task.job);
   const Task* task = job == nullptr ? nullptr : job->Find(id.task);
-  return task != nullptr &&
+  if (task == nullptr) {
+    return false;
+  }
+  return task->phase == TaskPhase::kDone || id.run <= task->proven_run ||
          std::any_of(task->crashes.begin(), task->crashes.end(),
                      [&](const SuspectedCrash& crash) {
                        return crash.run == id.run &&
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -104,7 +104,8 @@
   host.orphans.clear();
   const auto runs = host.runs;
   for (const auto& [id, run] : runs) {
-    if (run.incarnation != host.incarnation) {
+    // A verdict on an earlier one may have released it.
+    if (run.incarnation != host.incarnation && host.runs.contains(id)) {
       ResolveRunOfOldIncarnation(host, id, IsListed(report, id));
     }
   }
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -431,3 +431,27 @@
   harness.Write();
   CHECK(harness.scheduler().StateOf(job) == JobState::kFailed);
 }
+
+TEST(Crash, SuspectThatWasClearedIsNoSuspectForTheNextOwner) {
+  // Three trials at a time need as many hosts.
+  const auto more_hosts = {"e", "f", "g", "h", "i"};
+  for (const char* host : more_hosts) {
+    harness.AddHost(host, 8);
+  }
+  const JobId guilty = harness.AddJob("guilty", MakeStep(1, 1000));
+  const JobId first = harness.AddJob("first", MakeStep(1, 1000));
+  const JobId second = harness.AddJob("second", MakeStep(1, 1000));
+  harness.RunUnprovenRound();
+  const std::string crashed = HostOf(guilty);
+  CrashUnder(guilty);
+  LONGS_EQUAL(1, TaskOf(second).crashes.size());
+  harness.RunUnprovenRound();
+  harness.Survive(HostOf(first));
+  harness.Write();
+  harness.TakeOver(2);
+  // The agent repeats the crash to the new owner.
+  harness.Report(crashed);
+  harness.Report(HostOf(second));
+  harness.Survive(HostOf(second));
+  CHECK(TaskOf(guilty).crashes.front().evidence == CrashEvidence::kSole);
+}
