--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -119,6 +119,7 @@
   /// Ends the trials of runs that have worked long enough or have ended.
   void UpdateTrials(const WorkerLists& lists);
   /// The worker has confirmed a start.
+  /// @param clock see `OnStartAnswered`.
   void ShowStarted(const TaskRun& id, std::optional<WorkerInstant> clock);
   /// Begins the trials of runs anew that may belong to the next incarnation,
   /// and drops the others.
--- a/packages/hosting/simulation/protocol_simulation.h
+++ b/packages/hosting/simulation/protocol_simulation.h
@@ -105,6 +105,7 @@
             const std::string& peer,
             std::function<void()> action);
   void InjectFault();
+  /// Lets the capacity of a random worker shrink or grow.
   void ChangeCapacity();
   /// Lets a random entry take over if there has been no owner for a while.
   void EnsureOwner();
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -176,9 +176,11 @@
   /// that are guilty.
   void HandleCrash(Host& host, WorkerCrash crash);
   /// @returns whether the run cannot be the cause of the crash of a worker
-  /// incarnation: its task has been cleared since, or it is a suspect of another
-  /// crash. A run can have crashed one worker only.
+  /// incarnation: its task has been cleared since, or it is a suspect of
+  /// another crash. A run can have crashed one worker only.
   bool IsExonerated(const TaskRun& id, const WorkerIncarnation& incarnation);
+  /// Records that the run is suspected of the crash. Gives up its job if that
+  /// proves its task guilty.
   void SuspectOf(const TaskRun& id, const SuspectedCrash& crash);
   /// @returns whether the host may be unresponsive because of the run, which
   /// had just been started. It must not be started elsewhere before that is
@@ -193,6 +195,7 @@
   /// If all tasks that are still suspected of the crash belong to one job, they
   /// are its sole suspects from now on.
   void NarrowSuspects(const HostId& host, const WorkerIncarnation& crashed);
+  /// Removes the tasks of a job that is forgotten from the suspects.
   void ForgetSuspectsOf(const JobId& job);
   /// Ends the job as failed if the task of the run is guilty.
   void GiveUpIfGuilty(Job& job, const TaskRun& id, const HostId& host);
