--- a/review/lib/site_lite.py
+++ b/review/lib/site_lite.py
@@ -26,7 +26,8 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 ZONES = ["marka", "sahab", "zarqa"]
-SERVICE, HOST_HEADER, PREFIX = "bankline", "site.example", "/jobs/"
+SERVICE, HOST_HEADER = "bankline", "site.example"
+PREFIX, SECOND_PREFIX = "/jobs/", "/plans/"
 START_PATIENCE_S = 25.0
 RETRY_S = 0.4
 
@@ -128,7 +129,7 @@
                 self, "agent", f"side-{zone}-{n}", ip, zone,
                 {"listen": {"control": f"{ip}:{self.ports + 22}"},
                  "app": f"{ip}:{self.ports + 23}", "service": SERVICE}))
-        self.answers = []  # (time, method, job, status)
+        self.prefixes = {}  # By job, where it is not `PREFIX`.
 
     def free_ports(self):
         for _ in range(50):
@@ -151,10 +152,10 @@
     def configure(self, version):
         self.store.put("op/config", {
             "version": version,
-            "routes": [{"name": "jobs", "host": HOST_HEADER, "prefix": PREFIX,
+            "routes": [{"name": prefix.strip("/"), "host": HOST_HEADER, "prefix": prefix,
                         "kind": "unsafe", "timeout_ms": 3000, "objective_ms": 1000,
                         "priority": 0, "service": SERVICE, "max_attempts": 3,
-                        "stretch": 2.0}],
+                        "stretch": 2.0} for prefix in (PREFIX, SECOND_PREFIX)],
             "services": [{"name": SERVICE, "rejects_overload": True, "spare": False}],
             "limits": {}})
 
@@ -183,14 +184,16 @@
         return names.get(record["entry"]) if record else None
 
     async def ask(self, method, path, entry, body=None, timeout=3.0):
-        return await call(self.entries[entry].ip, self.ports + 20, method, PREFIX + path,
+        prefix = self.prefixes.get(path, PREFIX)
+        return await call(self.entries[entry].ip, self.ports + 20, method, prefix + path,
                           body, {"Host": HOST_HEADER,
                                  "Zinniacart-Deadline-Ms": str(int(timeout * 1000))},
                           timeout)
 
-    async def submit(self, steps, spec="text", entry=None, patience=20.0):
+    async def submit(self, steps, spec="text", entry=None, patience=20.0, prefix=PREFIX):
         """Hands a job in and repeats that, at any entry, until a 2xx answer."""
         job = secrets.token_hex(8)
+        self.prefixes[job] = prefix
         self.cluster.jobs[job], self.cluster.specs[job] = steps, spec
         body = {"spec": spec, "steps": [
             {name: value for name, value in step.items() if name not in ("work_s", "fails_s")}
