--- a/review/lib/site_lite.py
+++ b/review/lib/site_lite.py
@@ -190,14 +190,15 @@
                                  "Zinniacart-Deadline-Ms": str(int(timeout * 1000))},
                           timeout)
 
-    async def submit(self, steps, spec="text", entry=None, patience=20.0, prefix=PREFIX):
+    async def submit(self, steps, spec="text", entry=None, patience=20.0, prefix=PREFIX,
+                     schedule=None):
         """Hands a job in and repeats that, at any entry, until a 2xx answer."""
         job = secrets.token_hex(8)
         self.prefixes[job] = prefix
         self.cluster.jobs[job], self.cluster.specs[job] = steps, spec
         body = {"spec": spec, "steps": [
             {name: value for name, value in step.items() if name not in ("work_s", "fails_s")}
-            for step in steps]}
+            for step in steps], **(schedule or {})}
         until = time.monotonic() + patience
         entry = random.randrange(len(self.entries)) if entry is None else entry
         while time.monotonic() < until:
