Record the end of a task that finishes while its job is being cancelled

What callers saw: indirectly.

Cause: a worker may forget an end only after the job's version that contains it is stored. The end of a cancelled job's task raised the version but did not queue the job to be written. Unless another task of the job was released later, that version was never stored, and the worker had to keep this end and all later ones until the job was forgotten (240 s) or another owner took over. A worker lists 500 kept ends at a time; those beyond them aren't seen.

Now the end itself queues the version that it waits for. This also covers versions that had been queued at the low priority of checkpoints.

Evidence: Scheduler.AnEndOfACancelledJobDoesNotHoldBackLaterEnds, on: LONGS_EQUAL(2, harness.Orders("a").recorded_ends) failed expected <2 (0x2)> but was <0 (0x0)> scheduling_tests pass with it: 140 tests.

--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -145,9 +145,13 @@
     }
     host.processed_ends = ended.number;
     ApplyEnd(host, ended);
-    const Job* job = FindJob(ended.id.task.job);
+    Job* job = FindJob(ended.id.task.job);
     host.pending_ends[ended.number] =
         Host::PendingEnd{ended.id.task.job, job ? job->version() : 0};
+    if (job != nullptr && job->dirty()) {
+      // The worker keeps all ends from this one on until the version is stored.
+      MarkDirty(*job);
+    }
   }
 }
 
@@ -174,7 +178,6 @@
   LearnRunTime(*job, run);
   host.runs.erase(ended.id);
   CountOutcome(host, ended.id, false);
-  const bool was_active = job->active();
   const StepSpec& step = job->spec().steps[ended.id.task.step];
   if (step.perpetual) {
     job->Release(ended.id.task, ended.checkpoint, false);
@@ -182,9 +185,6 @@
     job->Finish(ended.id.task);
     StopDuplicateRun(*job, ended.id);
   }
-  if (was_active || job->state() != JobState::kCancelled) {
-    MarkDirty(*job);
-  }
 }
 
 void Scheduler::LearnRunTime(const Job& job, const HostedRun& run) {
@@ -211,7 +211,6 @@
   }
   job->Finish(ended.id.task);
   StopDuplicateRun(*job, ended.id);
-  MarkDirty(*job);
 }
 
 void Scheduler::CountOutcome(Host& host, const TaskRun& id, bool failed) {
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -272,6 +272,20 @@
   LONGS_EQUAL(0, harness.Orders("a").stops.size());
 }
 
+// A task that finishes while its job is being cancelled left an end that was
+// never recorded, and its worker kept all later ends.
+TEST(Scheduler, AnEndOfACancelledJobDoesNotHoldBackLaterEnds) {
+  harness.AddHost("a", 4);
+  const JobId cancelled = harness.AddJob("cancelled", MakeStep(1, 1000));
+  const JobId other = harness.AddJob("other", MakeStep(1, 1000));
+  harness.RunRound();
+  harness.scheduler().CancelJob(cancelled);
+  harness.End("a", MakeRun(cancelled, 0, 1), EndKind::kDone);
+  harness.End("a", MakeRun(other, 0, 1), EndKind::kDone);
+  harness.Write();
+  LONGS_EQUAL(2, harness.Orders("a").recorded_ends);
+}
+
 TEST(Scheduler, ADrainedDomainGetsNoTasks) {
   harness.AddHost("a", 4);
   harness.scheduler().SetDrainedDomains({DomainId("domain-a")});
