Release the runs of an agent that has restarted without its worker

What callers would see: LOST. A task stays placed on a host, and isn't started elsewhere, for as long as the host's agent runs without its worker.

Cause: the owner releases runs when the agent reports that the lease has expired, or when there is no report and every lease it granted must have expired. An agent that has restarted and has not reached its worker reports regularly, but reports no worker incarnation, and such reports were applied no further than the time of the last report. So neither case applied. The owner even went on granting stamps.

Now such reports don't put off the release, and no stamp is granted on them. The bound is the owner's own, on its own clock, as for a host without reports: an order that is still on its way carries an older grant and isn't carried out any more.

--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -83,6 +83,9 @@
   std::uint64_t sequence = 0;
   bool listed = false;     ///< Its runs were listed under our epoch.
   bool reachable = false;  ///< Agent and worker both respond.
+  /// The agent has not reached its worker since the agent started. Its reports
+  /// do not tell what becomes of the runs.
+  bool without_worker = false;
   Instant last_report_at;
 
   /// The newest stamp that may be granted, and when it was received.
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -138,11 +138,13 @@
         now - host.last_report_at > m_settings.report_timeout) {
       host.reachable = false;
     }
-    if (!host.runs.empty() &&
-        now - host.last_report_at > m_settings.report_timeout &&
+    const bool overdue = now - host.last_report_at > m_settings.report_timeout;
+    if (!host.runs.empty() && (overdue || host.without_worker) &&
         now > host.granted_stamp_received.value_or(m_ownership_began) +
                   LeaseExpiryBound(host)) {
-      ExpireRuns(host, "no report from the host and its lease has expired");
+      ExpireRuns(
+          host,
+          "no report of its runs from the host and its lease has expired");
     }
     for (auto& [run_id, run] : host.runs) {
       const bool unconfirmed = (run.ordered && !run.started) || run.stopping;
@@ -353,11 +355,10 @@
   orders.owner = m_owner;
   orders.incarnation = host.incarnation;
   orders.recorded_ends = host.recorded_ends;
-  if (grant && host.listed) {
+  if (grant && host.listed && !host.without_worker) {
     host.granted_stamp_received = host.stamp_received;
+    orders.granted_stamp = host.stamp;
   }
-  orders.granted_stamp =
-      host.granted_stamp_received && grant ? host.stamp : Instant{0};
   for (const TaskRun& withdrawn : host.WithdrawStartsBeyondCapacity()) {
     m_log({"run stopped", withdrawn, host.id(),
            "the worker's capacity has shrunk before it was started"});
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -85,6 +85,7 @@
   host.stamp = report.stamp;
   host.stamp_received = now;
   host.reachable = report.worker_reachable;
+  host.without_worker = !report.incarnation;
   if (report.facts) {
     if (!host.facts || host.facts->capacity != report.facts->capacity) {
       host.refused_capacity_at.reset();
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -324,6 +324,28 @@
   CHECK(harness.HostsOf(job) == std::vector<std::string>{"b"});
 }
 
+// The reports of an agent that had restarted without its worker kept the runs
+// of that worker from being released.
+TEST(Scheduler, RunsAreReleasedWhoseAgentHasRestartedWithoutItsWorker) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  harness.AddHost("b", 4);
+  HostReport& report = harness.report("a");
+  report = HostReport();
+  report.agent = Incarnation(2);
+  const Instant restarted = harness.clock().Now();
+  while (harness.clock().Now() - restarted < Duration(6000)) {
+    harness.Report("a");
+    harness.Report("b");
+    harness.Orders("a");
+    harness.scheduler().OnTick();
+    harness.scheduler().Place();
+    harness.clock().Advance(Duration(100));
+  }
+  STRCMP_EQUAL("b", harness.HostsOf(job).at(0).c_str());
+}
+
 TEST(Scheduler, ARunOfAPreviousWorkerIncarnationHasEnded) {
   harness.AddHost("a", 4);
   const JobId job = harness.AddJob("job", MakeStep(1, 1000));
