Place a moved task though others of its step lack headroom

What callers would see: a perpetual task that consolidation has stopped isn't started again, though its target has room for it.

Cause: the tasks of a step are placed by index. The first one that left too little headroom for short tasks ended the round for its step. A later one that was being moved needs no headroom, as it already had its capacity, but was not considered; short tasks of the next rounds took the room.

Evidence: PerpetualTask.ThatIsBeingMovedDoesNotWaitForOthersOfItsStep, before the change: LONGS_EQUAL(1, harness.HostsOf(lasting).size()) failed expected <1 (0x1)> but was <0 (0x0)> With it scheduling_tests pass: 142 tests.

--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -184,15 +184,18 @@
   StepTasks& tasks = job.At(ready.occurrence, ready.step);
   bool idle = std::none_of(tasks.tasks.begin(), tasks.tasks.end(),
                            [](const Task& task) { return task.placed(); });
+  bool headroom = true;
   for (std::uint32_t number = 0; number < tasks.tasks.size(); ++number) {
     Task& task = tasks.tasks[number];
     if (task.phase != TaskPhase::kPending) {
       continue;
     }
     // A task that is being moved already had its capacity.
-    if (step.perpetual && task.move_target == HostId() &&
-        !LeavesHeadroom(index, job, step)) {
-      return;
+    if (step.perpetual && task.move_target == HostId()) {
+      headroom = headroom && LeavesHeadroom(index, job, step);
+      if (!headroom) {
+        continue;
+      }
     }
     if (task.suspect() && !MayTry(index, job)) {
       continue;
