Place perpetual tasks that have waited before short ones

Cause: perpetual tasks are placed after finite ones and leave headroom for them, however long they wait. While short tasks keep coming, each round gives them what has become free, or the rest is smaller than the reserve.

Now a perpetual task that has run before and has waited for more than 3 s goes before all other tasks of its priority and needs no headroom: it had its capacity already. The users' rule allows 9 s after the last run; the rest is for starts that are refused. After a takeover it counts as having waited, as nobody knows how long it has. The order of all others stays as it was, also of perpetual tasks that have never run: those are what the headroom is for.

What it gives up: where a service loses hosts for good, the perpetual tasks of these hosts take up to their former capacity from the short tasks 3 s later, and short tasks wait for the difference.

--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -42,6 +42,8 @@
   /// occasion; not persisted.
   std::vector<HostId> failed_on;
   Instant placed_at;  ///< Not persisted.
+  /// When a run of it was last known to be at work; not persisted.
+  Instant worked_until;
   /// The crashes that the task is suspected of, since a run last survived its
   /// start.
   std::vector<SuspectedCrash> crashes;
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -203,6 +203,9 @@
   }
   std::size_t waiting = 0;
   for (const ReadyStep& ready : ReadySteps()) {
+    if (ready.overdue) {
+      continue;  // Its tasks are also counted with the other ones of the step.
+    }
     const auto& tasks = ready.job->At(ready.occurrence, ready.step).tasks;
     waiting += static_cast<std::size_t>(std::count_if(
         tasks.begin(), tasks.end(),
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -151,6 +151,7 @@
     std::uint32_t occurrence;
     std::uint32_t step;
     double urgency;  ///< Smaller values are placed first.
+    bool overdue;    ///< Includes only the overdue tasks, see `IsOverdue`.
   };
 
   /// A FIFO queue of jobs that holds each job at most once.
@@ -298,6 +299,11 @@
   std::vector<ReadyStep> ReadySteps();
   void CollectReadySteps(Job& job, std::vector<ReadyStep>& ready);
   double UrgencyOf(const Job& job, std::uint32_t step) const;
+  /// @returns the urgency of the step's overdue tasks.
+  static double OverdueUrgencyOf(const Job& job, std::uint32_t step);
+  /// @returns whether the task is a perpetual one that waits to run again for
+  /// longer than `SchedulerSettings::max_perpetual_wait`.
+  bool IsOverdue(const Job& job, const StepSpec& step, const Task& task) const;
   /// @returns whether the occurrence's scheduled time has come.
   bool IsDue(const Job& job, std::uint32_t occurrence) const;
   void PlaceStep(const ReadyStep& ready, PlacementIndex& index);
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -134,6 +134,7 @@
     return;
   }
   // A duplicate run is allowed, so the task can be placed again at once.
+  task.worked_until = m_clock.Now();
   job.Release(key, run.latest.checkpoint, false);
   MarkDirty(job);
 }
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -16,6 +16,16 @@
 /// Slower tasks reveal too little about the interference they cause.
 constexpr int kMinInitialPace = 25;
 
+/// @returns the processors that a perpetual step asks for. After a power loss
+/// all perpetual tasks are placed at once, on fewer hosts than before. The
+/// largest go first; otherwise the small ones would fragment the capacity that
+/// they need.
+double SizeOf(const Job& job, std::uint32_t step) {
+  const StepSpec& declared = job.spec().steps[step];
+  return static_cast<double>(declared.count) *
+         static_cast<double>(declared.demand.millicores);
+}
+
 }  // namespace
 
 void Scheduler::Place() {
@@ -54,12 +64,20 @@
       return;
     }
     for (std::uint32_t step = 0; step < job.spec().steps.size(); ++step) {
-      const StepTasks& tasks = job.At(k, step);
+      const auto& tasks = job.At(k, step).tasks;
       const bool pending = std::any_of(
-          tasks.tasks.begin(), tasks.tasks.end(),
+          tasks.begin(), tasks.end(),
           [](const Task& task) { return task.phase == TaskPhase::kPending; });
-      if (pending && job.Unblocked(k, step)) {
-        ready.push_back(ReadyStep{&job, k, step, UrgencyOf(job, step)});
+      if (!pending || !job.Unblocked(k, step)) {
+        continue;
+      }
+      ready.push_back(ReadyStep{&job, k, step, UrgencyOf(job, step), false});
+      const StepSpec& declared = job.spec().steps[step];
+      if (std::any_of(tasks.begin(), tasks.end(), [&](const Task& task) {
+            return IsOverdue(job, declared, task);
+          })) {
+        ready.push_back(
+            ReadyStep{&job, k, step, OverdueUrgencyOf(job, step), true});
       }
     }
   }
@@ -75,16 +93,26 @@
   return WallClockMilliseconds() >= due + m_settings.occurrence_delay.count();
 }
 
+bool Scheduler::IsOverdue(const Job& job,
+                          const StepSpec& step,
+                          const Task& task) const {
+  // A new owner does not know when the task last ran. It may have waited under
+  // the previous one already.
+  const Instant waits_since = std::max(job.accepted(), task.worked_until);
+  return step.perpetual && task.phase == TaskPhase::kPending &&
+         task.run != RunNumber() &&
+         m_clock.Now() - waits_since > m_settings.max_perpetual_wait;
+}
+
+double Scheduler::OverdueUrgencyOf(const Job& job, std::uint32_t step) {
+  return kPriorityWeight * job.policy().priority - SizeOf(job, step);
+}
+
 double Scheduler::UrgencyOf(const Job& job, std::uint32_t step) const {
   const QueuePolicy& policy = job.policy();
-  const StepSpec& declared = job.spec().steps[step];
-  if (declared.perpetual) {
-    // After a power loss all perpetual tasks are placed at once, on fewer hosts
-    // than before. The largest go first; otherwise the small ones would
-    // fragment the capacity that they need.
-    const double size = static_cast<double>(declared.count) *
-                        static_cast<double>(declared.demand.millicores);
-    return kPriorityWeight * policy.priority + kPerpetualUrgency - size;
+  if (job.spec().steps[step].perpetual) {
+    return kPriorityWeight * policy.priority + kPerpetualUrgency -
+           SizeOf(job, step);
   }
   return kPriorityWeight * policy.priority +
          RankOf(RankingInputsOf(job, step,
@@ -187,11 +215,12 @@
   bool headroom = true;
   for (std::uint32_t number = 0; number < tasks.tasks.size(); ++number) {
     Task& task = tasks.tasks[number];
-    if (task.phase != TaskPhase::kPending) {
+    if (task.phase != TaskPhase::kPending ||
+        (ready.overdue && !IsOverdue(job, step, task))) {
       continue;
     }
     // A task that is being moved already had its capacity.
-    if (step.perpetual && task.move_target == HostId()) {
+    if (step.perpetual && !ready.overdue && task.move_target == HostId()) {
       headroom = headroom && LeavesHeadroom(index, job, step);
       if (!headroom) {
         continue;
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -170,6 +170,9 @@
     OnProven(host, ended.id, found->second);
   }
   Job* job = FindJob(ended.id.task.job);
+  if (Task* task = job == nullptr ? nullptr : job->Find(ended.id.task)) {
+    task->worked_until = m_clock.Now();
+  }
   if (job == nullptr || ended.kind != EndKind::kDone) {
     const bool failed = ended.kind == EndKind::kFailed;
     DropRun(host, ended.id, ended.checkpoint, failed, ToString(ended.kind));
@@ -372,6 +375,8 @@
                         CheckpointId checkpoint,
                         bool failed,
                         const char* reason) {
+  const auto run = host.runs.find(id);
+  const bool worked = run != host.runs.end() && run->second.started;
   host.runs.erase(id);
   m_log({"run released", id, host.id(), reason});
   Job* job = FindJob(id.task.job);
@@ -391,6 +396,9 @@
     return;
   }
   const bool was_active = job->active();
+  if (worked) {
+    task->worked_until = m_clock.Now();
+  }
   job->Release(id.task, checkpoint, failed);
   MarkDirty(*job);
   if (was_active && !job->active()) {
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -68,6 +68,12 @@
   /// Serving tasks are consolidated one move at a time, at this interval, so
   /// that each decision sees the effect of the previous move.
   Duration consolidation_interval{150};
+  /// A perpetual task that has run before and has waited this long to run again
+  /// is placed before all other tasks of its priority, also in the capacity
+  /// that is kept free for short tasks. Callers are promised that such a task
+  /// runs again within 9 s while there is room for it; the rest of that time is
+  /// for starts that are refused.
+  Duration max_perpetual_wait{3000};
   Duration load_log_interval{2000};
   /// A host without a report for this long gets no new tasks, and those of its
   /// tasks that allow duplicate runs are started elsewhere. Longer than two
