Check ends and perpetual tasks in the randomised runs

After the faults of a run, each end that a worker lists must be recorded within 5 s, and with the new settings each perpetual task that has run must run again within 9 s while there has been room for it twice over for 3 s. New settings: perpetual serving jobs beside short jobs that also arrive after the faults and a best-effort job, so that consolidation moves tasks; workers that are away for seconds when they crash. Without them the random numbers of a seed are drawn as before.

--- a/packages/hosting/simulation/protocol_simulation.cc
+++ b/packages/hosting/simulation/protocol_simulation.cc
@@ -17,6 +17,22 @@
 constexpr double kFaultProbability = 0.025;
 /// Of calls to a worker, while the fault of late calls lasts.
 constexpr double kLateProbability = 0.3;
+constexpr Duration kMinLateness{2000};
+constexpr Duration kMaxLateness{12000};
+
+/// An end must be recorded within this time without a disturbance.
+constexpr Duration kMaxEndAge{5000};
+/// A perpetual task must run again this long after its last run, if there has
+/// been room for it twice over for `kRoomTime`.
+constexpr Duration kMaxPerpetualWait{9000};
+constexpr Duration kRoomTime{3000};
+/// Without faults for this long, the last two times hold.
+constexpr Duration kCalmTime{7000};
+/// How long the simulation goes on without faults at least.
+constexpr Duration kMinCalmPeriod{25000};
+
+/// The best-effort job beside perpetual ones, which may outlast the run.
+const JobId kBatchJob("batch");
 
 std::string EntryName(std::size_t entry) {
   return "entry-" + std::to_string(entry);
@@ -54,6 +70,7 @@
   }
   SchedulerSettings scheduler;
   scheduler.times = settings.owner_times;
+  scheduler.max_perpetual_wait = settings.max_perpetual_wait;
   for (int number = 0; number < settings.entries; ++number) {
     const std::string name = EntryName(number);
     m_entries.push_back(SimulatedEntry{
@@ -94,6 +111,7 @@
 ProtocolReport ProtocolSimulation::Run() {
   const Instant faults_end = m_clock.Now() + m_settings.fault_period;
   const Instant end = faults_end + m_settings.recovery_period;
+  SubmitPerpetualJobs();
   while (m_clock.Now() < faults_end) {
     Tick(true);
   }
@@ -101,8 +119,20 @@
   for (auto& [host, worker] : m_workers) {
     worker->SetCapacity(kFullMillicores, m_clock.Now());
   }
-  while (m_clock.Now() < end && !AllJobsEnded()) {
+  m_calm_since = m_clock.Now();
+  for (auto& [host, agent] : m_agents) {
+    m_calm_since = std::max(m_calm_since, agent.worker_down_until);
+    m_calm_since = std::max(m_calm_since, agent.down_until);
+    m_calm_since = std::max(m_calm_since, agent.frozen_until);
+  }
+  for (const SimulatedEntry& entry : m_entries) {
+    m_calm_since = std::max(m_calm_since, entry.frozen_until);
+  }
+  m_calm_since = std::max(m_calm_since, m_late_calls_until + kMaxLateness);
+  while (m_clock.Now() < end &&
+         (!AllJobsEnded() || m_clock.Now() - m_calm_since < kMinCalmPeriod)) {
     Tick(false);
+    CheckCalm();
   }
   CheckOutcome();
   m_report.starts = m_oracle.starts();
@@ -130,7 +160,10 @@
   if (faulty && m_settings.capacity_changes && Chance(kFaultProbability)) {
     ChangeCapacity();
   }
-  const Duration interval = m_settings.fault_period / m_settings.jobs;
+  const Duration submission_period =
+      m_settings.fault_period +
+      (m_settings.perpetual_jobs > 0 ? kMinCalmPeriod : Duration(0));
+  const Duration interval = submission_period / m_settings.jobs;
   if (m_submitted_jobs < m_settings.jobs &&
       m_clock.Now() >= Instant{100000} + interval * m_submitted_jobs) {
     SubmitJob(m_submitted_jobs++);
@@ -179,7 +212,7 @@
   if (now < agent.frozen_until) {
     return;
   }
-  if (now - agent.announced_at >= kAnnouncementInterval) {
+  if (!WorkerDown(host) && now - agent.announced_at >= kAnnouncementInterval) {
     agent.announced_at = now;
     SimulatedWorker& worker = *m_workers.at(host);
     agent.supervisor->OnAnnouncement(worker.Facts(), worker.NextAnnouncement());
@@ -202,6 +235,9 @@
       answer(*agent.supervisor, result);
     }
   };
+  if (WorkerDown(host)) {
+    return RunAfter(Duration(1), [reply] { reply(std::nullopt); });
+  }
   const auto worker_incarnation = m_workers.at(host)->Facts().incarnation;
   if (std::is_same_v<Request, HoldCall> &&
       m_agents.at(host).connected_to != worker_incarnation) {
@@ -219,7 +255,8 @@
   if (late || Chance(kLossProbability)) {
     if (late) {
       // Carry the call out seconds later, unless the worker restarts before.
-      RunAfter(Duration(Random(2000, 12000)),
+      RunAfter(Duration(Random(static_cast<int>(kMinLateness.count()),
+                               static_cast<int>(kMaxLateness.count()))),
                [this, host, worker_incarnation, request, handle] {
                  SimulatedWorker& worker = *m_workers.at(host);
                  if (worker.Facts().incarnation == worker_incarnation) {
@@ -367,6 +404,9 @@
       break;
     case 6:
       m_workers.at(host)->Crash();
+      if (m_settings.worker_outages) {
+        agent.worker_down_until = until;
+      }
       break;
     case 7:
       // The store is unavailable.
@@ -443,6 +483,10 @@
       number % m_settings.crashing_job_every == 0) {
     record.spec.payload = kCrashingPayload;
   }
+  Store(record);
+}
+
+void ProtocolSimulation::Store(const JobRecord& record) {
   m_oracle.AddJob(record);
   m_store.jobs[record.id] = record;
   for (SimulatedEntry& entry : m_entries) {
@@ -450,6 +494,104 @@
   }
 }
 
+void ProtocolSimulation::SubmitPerpetualJobs() {
+  JobRecord record;
+  record.queue = QueueId("queue");
+  record.policy.service = ServiceId("service");
+  record.policy.max_attempts = 3;
+  for (int number = 0; number < m_settings.perpetual_jobs; ++number) {
+    record.id = JobId("perpetual-" + std::to_string(number));
+    StepSpec step;
+    step.count = 2;
+    step.demand = Resources{800, 100, 0};
+    step.estimate = Duration(1000);
+    step.perpetual = true;
+    step.most_per_host = 1;
+    step.image = "serving";
+    step.latency_target = Duration(100);
+    record.spec.steps = {step};
+    Store(record);
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+      m_perpetual_tasks[TaskKey{record.id, 0, 0, index}] = {m_clock.Now(),
+                                                            m_clock.Now()};
+    }
+  }
+  if (m_settings.perpetual_jobs == 0) {
+    return;
+  }
+  record.id = kBatchJob;
+  record.policy.priority = 1;
+  StepSpec step;
+  step.count = 1;
+  step.demand = Resources{400, 100, 0};
+  step.estimate = Duration(1000);
+  step.best_effort = true;
+  step.image = "batch";
+  constexpr std::uint32_t kSteps = 120;
+  record.spec.steps = std::vector<StepSpec>(kSteps, step);
+  for (std::uint32_t later = 1; later < kSteps; ++later) {
+    record.spec.steps[later].after = {later - 1};
+  }
+  Store(record);
+}
+
+std::int64_t ProtocolSimulation::RoomFor(const TaskKey& task) const {
+  std::int64_t room = 0;
+  for (const auto& [host, worker] : m_workers) {
+    // No two tasks of a perpetual step run on one host.
+    const bool fits =
+        worker->FreeMillicores() >= m_oracle.StepOf(task).demand.millicores;
+    room += fits && !worker->RunsTaskOfStep(task) ? 1 : 0;
+  }
+  return room;
+}
+
+void ProtocolSimulation::CheckCalm() {
+  const Instant now = m_clock.Now();
+  for (const auto& [host, worker] : m_workers) {
+    const auto ended = worker->OldestUnrecordedEnd();
+    if (ended &&
+        now - std::max(*ended, m_calm_since + kCalmTime) > kMaxEndAge) {
+      throw Violation("an end at " + host.value() + " is not recorded after " +
+                      std::to_string((now - *ended).count()) + " ms");
+    }
+  }
+  for (const auto& [task, state] : m_perpetual_tasks) {
+    CheckPerpetualTask(task);
+  }
+}
+
+bool ProtocolSimulation::HasEnded(const JobId& job) const {
+  return std::any_of(
+      m_entries.begin(), m_entries.end(), [&](const SimulatedEntry& entry) {
+        if (!entry.owner->active() || entry.owner->epoch() != m_store.epoch) {
+          return false;
+        }
+        const auto& jobs = entry.owner->scheduler().jobs();
+        const auto found = jobs.find(job);
+        return found != jobs.end() && !found->second->active();
+      });
+}
+
+void ProtocolSimulation::CheckPerpetualTask(const TaskKey& task) {
+  const Instant now = m_clock.Now();
+  PerpetualTask& state = m_perpetual_tasks.at(task);
+  if (m_oracle.IsRunning(task) || !m_oracle.HasRun(task) ||
+      HasEnded(task.job)) {
+    state.last_run = now;
+  }
+  if (RoomFor(task) < 2) {
+    state.cramped_last = now;
+  }
+  if (now - m_calm_since > kCalmTime &&
+      now - state.last_run > kMaxPerpetualWait &&
+      now - state.cramped_last > kRoomTime) {
+    throw Violation(task.ToString() + " has not run for " +
+                    std::to_string((now - state.last_run).count()) +
+                    " ms though there is room for it");
+  }
+}
+
 void ProtocolSimulation::CancelRandomJob() {
   if (m_submitted_jobs == 0) {
     return;
@@ -467,12 +609,13 @@
       continue;
     }
     const auto& jobs = entry.owner->scheduler().jobs();
-    return std::all_of(m_store.jobs.begin(), m_store.jobs.end(),
-                       [&](const auto& row) {
-                         const auto found = jobs.find(row.first);
-                         return found != jobs.end() &&
-                                IsTerminal(found->second->visible_state());
-                       });
+    return std::all_of(
+        m_store.jobs.begin(), m_store.jobs.end(), [&](const auto& row) {
+          const auto found = jobs.find(row.first);
+          return row.second.spec.perpetual() || row.first == kBatchJob ||
+                 (found != jobs.end() &&
+                  IsTerminal(found->second->visible_state()));
+        });
   }
   return false;
 }
--- a/packages/hosting/simulation/protocol_simulation.h
+++ b/packages/hosting/simulation/protocol_simulation.h
@@ -28,6 +28,15 @@
   int crashing_job_every = 0;
   /// The capacities of workers shrink and grow. They should ignore it.
   bool capacity_changes = false;
+  /// Perpetual jobs of serving tasks, submitted at once together with one
+  /// best-effort job, so that serving tasks are consolidated. Other jobs are
+  /// then submitted also after the faults. The workers should be steady and
+  /// ignore their capacity, so that only the owner limits what runs.
+  int perpetual_jobs = 0;
+  /// Workers that crash are back only after some seconds.
+  bool worker_outages = false;
+  /// See `SchedulerSettings`. Tests of the oracle set it apart.
+  Duration max_perpetual_wait = SchedulerSettings().max_perpetual_wait;
   /// The times that owners and agents use. They must agree; tests of the oracle
   /// set them apart.
   LeaseTimes owner_times;
@@ -75,6 +84,7 @@
     Instant announced_at;
     /// The worker incarnation to which holds are sent.
     WorkerIncarnation connected_to;
+    Instant worker_down_until;
   };
   struct SimulatedEntry {
     std::unique_ptr<SimulatedOwner> owner;
@@ -110,6 +120,20 @@
   /// Lets a random entry take over if there has been no owner for a while.
   void EnsureOwner();
   void SubmitJob(int number);
+  void SubmitPerpetualJobs();
+  void Store(const JobRecord& record);
+  /// Throws `Violation` if an end has not been recorded for long, or a
+  /// perpetual task does not run again though there is room for it. Must be
+  /// called with each tick while there are no faults.
+  void CheckCalm();
+  void CheckPerpetualTask(const TaskKey& task);
+  /// @returns whether the present owner has given the job up.
+  bool HasEnded(const JobId& job) const;
+  /// @returns how often the task fits beside what the workers run.
+  std::int64_t RoomFor(const TaskKey& task) const;
+  bool WorkerDown(const HostId& host) const {
+    return m_clock.Now() < m_agents.at(host).worker_down_until;
+  }
   void CancelRandomJob();
   /// Throws `Violation` if jobs have not ended or only appear to be completed.
   void CheckOutcome();
@@ -138,6 +162,12 @@
   std::map<HostId, Instant> m_agent_undisturbed_at;
   Instant m_late_calls_until;
   Instant m_ownerless_since;
+  Instant m_calm_since;
+  struct PerpetualTask {
+    Instant last_run;      ///< When it was last at work, or submitted.
+    Instant cramped_last;  ///< When there was last no room for it twice over.
+  };
+  std::map<TaskKey, PerpetualTask> m_perpetual_tasks;
   int m_submitted_jobs = 0;
   ProtocolReport m_report;
 };
--- a/packages/hosting/simulation/randomised_runs_test.cc
+++ b/packages/hosting/simulation/randomised_runs_test.cc
@@ -12,9 +12,20 @@
 
 constexpr std::uint64_t kMaxSeeds = 40;
 
+/// @returns settings under which perpetual tasks run beside many others.
+ProtocolSettings PerpetualRuns() {
+  ProtocolSettings settings;
+  settings.perpetual_jobs = 3;
+  settings.jobs = 200;
+  settings.worker.steady = true;
+  settings.worker.ignores_capacity = true;
+  return settings;
+}
+
 /// @returns the first violation in runs with `settings`, if any.
-std::optional<std::string> FirstViolation(ProtocolSettings settings) {
-  for (std::uint64_t seed = 1; seed <= kMaxSeeds; ++seed) {
+std::optional<std::string> FirstViolation(ProtocolSettings settings,
+                                          std::uint64_t seeds = kMaxSeeds) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     settings.seed = seed;
     try {
       ProtocolSimulation(settings).Run();
@@ -63,6 +74,26 @@
   CHECK(given_up > 0);
 }
 
+// A perpetual task that had run did not run again beside short tasks that took
+// what became free.
+TEST(ProtocolRuns, PerpetualTasksRunAgainAfterAllFaults) {
+  STRCMP_EQUAL("", FirstViolation(PerpetualRuns(), 4).value_or("").c_str());
+}
+
+TEST(ProtocolRuns, PerpetualTasksRunAgainAfterOutagesOfWorkers) {
+  ProtocolSettings settings = PerpetualRuns();
+  settings.worker_outages = true;
+  STRCMP_EQUAL("", FirstViolation(settings, 4).value_or("").c_str());
+}
+
+TEST(ProtocolRuns, CatchesAnOwnerThatLetsPerpetualTasksWait) {
+  ProtocolSettings settings = PerpetualRuns();
+  settings.max_perpetual_wait = Duration(3600000);
+  const auto violation_text = FirstViolation(settings, 4);
+  CHECK(violation_text.has_value());
+  STRCMP_CONTAINS("though there is room for it", violation_text->c_str());
+}
+
 TEST(ProtocolRuns, CapacitiesThatShrinkAndGrowAreKeptToUnderAllFaults) {
   ProtocolSettings settings;
   settings.capacity_changes = true;
--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -9,6 +9,14 @@
 constexpr int kMinRunMs = 200;
 constexpr int kMaxRunMs = 9000;
 constexpr std::int64_t kMemoryMb = 8000;
+/// How much longer a run of a perpetual task lasts than others.
+constexpr int kPerpetualRunFactor = 20;
+/// Steady runs take this time and a part of the time of other runs.
+constexpr Duration kSteadyRun{700};
+constexpr int kSteadyRunSpread = 15;
+/// Measures of a perpetual task, which is ready as soon as it is at work.
+constexpr int kReadyPercent = 100;
+constexpr std::int64_t kTailLatencyMs = 20;
 
 }  // namespace
 
@@ -50,6 +58,7 @@
   m_runs.erase(id);
   m_newest_closed_run[id.task] = std::max(m_newest_closed_run[id.task], id.run);
   m_ended.push_back(EndedTask{++m_last_end_number, id, how, {}});
+  m_ended_at[m_last_end_number] = m_oracle.now();
   m_oracle.OnEnded(id, m_host, how);
 }
 
@@ -66,6 +75,7 @@
   m_runs.clear();
   m_newest_closed_run.clear();
   m_ended.clear();
+  m_ended_at.clear();
   m_last_end_number = 0;
   m_announcements = 0;
   m_fence = Epoch();
@@ -76,6 +86,26 @@
   m_incarnation = WorkerIncarnation(m_incarnation.value() + 1);
 }
 
+std::int64_t SimulatedWorker::FreeMillicores() const {
+  std::int64_t free = m_millicores;
+  for (const auto& [id, run] : m_runs) {
+    const StepSpec& step = m_oracle.StepOf(id.task);
+    free -= step.best_effort ? 0 : step.demand.millicores;
+  }
+  return free;
+}
+
+bool SimulatedWorker::RunsTaskOfStep(const TaskKey& task) const {
+  return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& entry) {
+    return entry.first.task.First() == task.First();
+  });
+}
+
+std::optional<Instant> SimulatedWorker::OldestUnrecordedEnd() const {
+  return m_ended_at.empty() ? std::nullopt
+                            : std::optional(m_ended_at.begin()->second);
+}
+
 bool SimulatedWorker::Fenced(Epoch token) {
   if (token < m_fence) {
     return true;
@@ -100,13 +130,27 @@
   std::erase_if(m_ended, [&](const EndedTask& ended) {
     return ended.number <= call.recorded_ends;
   });
+  m_ended_at.erase(m_ended_at.begin(),
+                   m_ended_at.upper_bound(call.recorded_ends));
   WorkerLists lists{m_incarnation, Now(), {}, m_ended};
   for (const auto& [id, run] : m_runs) {
-    lists.running.push_back(RunningTask{id, {}, 0, 0});
+    lists.running.push_back(List(id, run));
   }
   return lists;
 }
 
+RunningTask SimulatedWorker::List(const TaskRun& id, const Run& run) const {
+  if (run.perpetual) {
+    return RunningTask{id, {}, kReadyPercent, kTailLatencyMs};
+  }
+  const Duration done = run.total - run.left;
+  return RunningTask{
+      id,
+      {},
+      m_faults.steady ? static_cast<int>(100 * done / run.total) : 0,
+      0};
+}
+
 StartAnswer SimulatedWorker::Start(const StartCall& call) {
   if (Fenced(call.token)) {
     return StartAnswer::kFenced;
@@ -139,8 +183,16 @@
     m_oracle.CheckCapacity(tasks, m_host, m_millicores, m_capacity_settled_at);
   }
   m_runs[id].crashes = call.order.payload == kCrashingPayload;
-  m_runs[id].left = Duration(
+  Run& run = m_runs[id];
+  run.total = Duration(
       std::uniform_int_distribution<int>(kMinRunMs, kMaxRunMs)(m_random));
+  run.perpetual = m_oracle.StepOf(id.task).perpetual;
+  if (run.perpetual) {
+    run.total *= kPerpetualRunFactor;
+  } else if (m_faults.steady) {
+    run.total = kSteadyRun + run.total / kSteadyRunSpread;
+  }
+  run.left = run.total;
   return StartAnswer::kStarted;
 }
 
--- a/packages/hosting/simulation/simulated_worker.h
+++ b/packages/hosting/simulation/simulated_worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -13,8 +14,10 @@
 /// Capacity of a worker that has not shrunk.
 inline constexpr std::int64_t kFullMillicores = 4000;
 
-/// Faulty behaviour of a worker.
+/// Behaviour of a worker, most of it faulty.
 struct WorkerFaults {
+  /// Runs take about a second, and the lists show their progress.
+  bool steady = false;
   bool ignores_leases = false;     ///< Runs continue after the lease expired.
   bool ignores_deadlines = false;  ///< Starts are accepted after `not_after`.
   bool ignores_capacity = false;   ///< Every start is accepted.
@@ -42,6 +45,14 @@
   /// Ends all runs and restarts the worker as a new incarnation without state.
   void Crash();
 
+  /// @returns the processors that its runs leave free, in millicores.
+  std::int64_t FreeMillicores() const;
+  /// @returns whether a task of the step of `task` is at work here.
+  bool RunsTaskOfStep(const TaskKey& task) const;
+  /// @returns when the oldest run ended of which the owner has not recorded the
+  /// end; nothing if there is none.
+  std::optional<Instant> OldestUnrecordedEnd() const;
+
   Result<WorkerLists> Hold(const HoldCall& call);
   StartAnswer Start(const StartCall& call);
   bool Stop(const StopCall& call);
@@ -53,13 +64,17 @@
 
  private:
   struct Run {
+    Duration total{0};
     Duration left{0};
     bool crashes = false;  ///< It crashes the worker at once.
+    bool perpetual = false;
   };
 
   /// Remembers the newest token.
   /// @returns whether `token` is older than it, so that the call is refused.
   bool Fenced(Epoch token);
+  /// @returns the run as it is listed.
+  RunningTask List(const TaskRun& id, const Run& run) const;
   void End(const TaskRun& id, EndKind how);
 
   const HostId m_host;
@@ -79,6 +94,7 @@
   /// older ones may not start.
   std::map<TaskKey, RunNumber> m_newest_closed_run;
   std::vector<EndedTask> m_ended;
+  std::map<std::uint64_t, Instant> m_ended_at;  ///< By number of the end.
   std::uint64_t m_last_end_number = 0;
 };
 
--- a/packages/hosting/simulation/soak_main.cc
+++ b/packages/hosting/simulation/soak_main.cc
@@ -23,6 +23,14 @@
   bool clock_restarts = false;
   app.add_flag("--clock-restarts", clock_restarts,
                "The clock of each worker incarnation begins at 0");
+  int perpetual_jobs = 0;
+  app.add_option("--perpetual-jobs", perpetual_jobs,
+                 "Number of perpetual jobs; workers ignore their capacity");
+  int jobs = zinniacart::simulation::ProtocolSettings().jobs;
+  app.add_option("--jobs", jobs, "Number of other jobs");
+  bool worker_outages = false;
+  app.add_flag("--worker-outages", worker_outages,
+               "Workers that crash are back only after some seconds");
   CLI11_PARSE(app, argc, argv);
   using namespace zinniacart::simulation;
   std::size_t starts = 0;
@@ -35,7 +43,11 @@
     settings.seed = seed;
     settings.crashing_job_every = crashing_job_every;
     settings.capacity_changes = capacity_changes;
-    settings.worker.ignores_capacity = capacity_changes;
+    settings.worker.ignores_capacity = capacity_changes || perpetual_jobs > 0;
+    settings.worker.steady = perpetual_jobs > 0;
+    settings.perpetual_jobs = perpetual_jobs;
+    settings.worker_outages = worker_outages;
+    settings.jobs = jobs;
     settings.worker.clock_restarts = clock_restarts;
     if (trace) {
       settings.trace = [](const std::string& line) {
--- a/packages/hosting/simulation/task_oracle.cc
+++ b/packages/hosting/simulation/task_oracle.cc
@@ -30,7 +30,8 @@
   if (m_recorded_done.contains(id.task) && !step.perpetual) {
     throw Violation(name + " started after its end was recorded");
   }
-  if (m_recorded_failures[id.task] >= job.policy.max_attempts) {
+  if (m_recorded_failures[id.task] >= job.policy.max_attempts &&
+      !step.perpetual) {
     throw Violation(name + " started after its last attempt failed");
   }
   if (m_crashes[id.task] >= kCrashesOfGuilty && m_in_touch(host) &&
@@ -48,7 +49,7 @@
                                Instant settled_at) const {
   std::int64_t used = 0;
   for (const TaskKey& task : tasks) {
-    used += m_jobs.at(task.job).spec.steps.at(task.step).demand.millicores;
+    used += StepOf(task).best_effort ? 0 : StepOf(task).demand.millicores;
   }
   if (used > millicores && m_clock.Now() > settled_at && m_in_touch(host)) {
     throw Violation(tasks.front().ToString() + " started at " + host.value() +
@@ -80,6 +81,11 @@
   }
 }
 
+bool TaskOracle::IsRunning(const TaskKey& task) const {
+  const auto running = m_running.find(task);
+  return running != m_running.end() && !running->second.empty();
+}
+
 void TaskOracle::OnCrashed(const TaskRun& id, bool guilty) {
   ++m_lost_workers[id.task];
   m_crashes[id.task] += guilty ? 1 : 0;
--- a/packages/hosting/simulation/task_oracle.h
+++ b/packages/hosting/simulation/task_oracle.h
@@ -56,6 +56,12 @@
   /// Called when the worker learns that the owner has recorded the end.
   void OnEndRecorded(const TaskRun& id, EndKind how);
 
+  const StepSpec& StepOf(const TaskKey& task) const {
+    return m_jobs.at(task.job).spec.steps.at(task.step);
+  }
+  bool IsRunning(const TaskKey& task) const;
+  bool HasRun(const TaskKey& task) const { return m_running.contains(task); }
+  Instant now() const { return m_clock.Now(); }
   std::size_t starts() const { return m_starts; }
   /// @returns whether each task of the job has completed successfully.
   bool AllTasksDone(const JobId& job) const;
