Give up an unanswered start at a worker that is gone

What callers would see: LOST. A task whose start got no answer stays placed on a host whose worker never comes back, and isn't started elsewhere.

Cause: the agent resolves an unanswered start from the worker's next lists, and the owner does not release a run whose start is unresolved, even though the lease has expired, as the agent may still carry it out. Without a worker there are no lists.

Now the agent reports such a start as refused once the worker's lease must have expired and 15 s have passed since the call: then it can't reach the worker any more. Until then nothing changes, since a late call may still be carried out by the next incarnation.

--- a/packages/hosting/host_supervisor.cc
+++ b/packages/hosting/host_supervisor.cc
@@ -58,7 +58,7 @@
   }
   for (const StartOrder& order : orders.starts) {
     Start& start =
-        m_starts.try_emplace(order.id, Start{order, {}, {}, {}, {}, {}})
+        m_starts.try_emplace(order.id, Start{order, {}, {}, {}, {}, {}, {}})
             .first->second;
     start.granted_stamp = std::max(start.granted_stamp, orders.granted_stamp);
   }
@@ -211,6 +211,18 @@
   }
 }
 
+void HostSupervisor::GiveUpUnanswered() {
+  if (!LeaseExpired()) {
+    return;
+  }
+  for (auto& [id, start] : m_starts) {
+    if (start.phase == StartPhase::kUnanswered &&
+        m_clock.Now() - start.sent_at > m_settings.max_call_delay) {
+      Resolve(start, OrderOutcome::kRefused);
+    }
+  }
+}
+
 void HostSupervisor::UpdateTrials(const WorkerLists& lists) {
   for (const RunningTask& task : lists.running) {
     const auto trial = m_trials.find(task.id);
@@ -370,6 +382,7 @@
 
 std::vector<WorkerCall> HostSupervisor::TakeCalls() {
   ForgetOldResults();
+  GiveUpUnanswered();
   std::vector<WorkerCall> calls;
   for (auto& [id, stop] : m_stops) {
     if (!stop.sent && !stop.answered && m_reachable) {
@@ -386,6 +399,7 @@
       continue;
     }
     start.phase = StartPhase::kSent;
+    start.sent_at = m_clock.Now();
     start.not_after = WorkerInstant{WorkerNow().milliseconds +
                                     m_settings.times.start_validity.count()};
     // The worker extends the lease of all its runs to the deadline of a start.
--- a/packages/hosting/host_supervisor.h
+++ b/packages/hosting/host_supervisor.h
@@ -23,6 +23,8 @@
   /// Delay before the next hold where the last one failed, did not wait, or
   /// listed ends that the owner has not recorded yet.
   Duration retry_delay{150};
+  /// A call that got no answer may still reach the worker within this time.
+  Duration max_call_delay{15000};
   /// A run that has worked this long is not suspected of a later crash of its
   /// worker: a task that crashes its workers does so when it starts.
   Duration trial{100};
@@ -89,6 +91,7 @@
     StartOrder order;
     StartPhase phase = StartPhase::kWaiting;
     WorkerInstant not_after;
+    Instant sent_at;
     OrderOutcome outcome = OrderOutcome::kRefused;  ///< Once it is resolved.
     Instant resolved_at;
     Instant granted_stamp;  ///< The newest that came with this start.
@@ -114,6 +117,9 @@
   void ApplyLists(const HoldCall& call, const WorkerLists& lists);
   /// Determines from the lists whether unanswered starts were carried out.
   void ResolveUnanswered(const WorkerLists& lists);
+  /// Resolves unanswered starts at a worker that has not answered for so long
+  /// that they cannot be carried out any more.
+  void GiveUpUnanswered();
   void Resolve(Start& start, OrderOutcome outcome);
   void ForgetOldResults();
   /// Ends the trials of runs that have worked long enough or have ended.
--- a/packages/hosting/tests/host_supervisor_test.cc
+++ b/packages/hosting/tests/host_supervisor_test.cc
@@ -77,6 +77,33 @@
         OrderOutcome::kRefused);
 }
 
+// A worker that never came back left the outcome of its last start open for
+// good, and the task was not placed elsewhere.
+TEST(HostSupervisor, AnUnansweredStartAtAWorkerThatIsGoneIsRefusedInTheEnd) {
+  Attach();
+  OrderStart(MakeRun("job", 1));
+  supervisor.OnStartAnswered(TakeStart(), StartAnswer::kUnanswered);
+  const auto wait_in_vain = [this](Duration duration) {
+    const Instant end = clock.Now() + duration;
+    while (clock.Now() < end) {
+      clock.Advance(Duration(100));
+      for (const WorkerCall& call : supervisor.TakeCalls()) {
+        if (const auto* hold = std::get_if<HoldCall>(&call)) {
+          supervisor.OnHoldAnswered(
+              *hold, Fail(ErrorCode::kUnreachable, "connection refused"));
+        }
+      }
+    }
+  };
+  wait_in_vain(settings.times.lease + settings.times.expiry_margin);
+  LONGS_EQUAL(0, supervisor.MakeReport().results.size());
+  wait_in_vain(settings.max_call_delay);
+  const HostReport report = supervisor.MakeReport();
+  CHECK(report.lease_expired);
+  LONGS_EQUAL(1, report.results.size());
+  CHECK(report.results.at(0).outcome == OrderOutcome::kRefused);
+}
+
 TEST(HostSupervisor, AnUnansweredStartThatIsListedHasStarted) {
   Attach();
   OrderStart(MakeRun("job", 1));
