Send no starts to an agent that has not reached its worker

An agent that restarts gets starts without a grant until it has reported its worker. If such a start arrives just after it has found the worker, it refuses the start for want of a grant, and the owner places the task elsewhere, while the same start from the agent's previous process is still on its way to the worker.

Now no order is sent until the agent has reported its worker; the agent would drop it in most cases anyway. The start is then sent with a grant, and the worker answers the second one as it did the first.

--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -344,7 +344,7 @@
 std::vector<HostId> Scheduler::HostsWithOrders() const {
   std::vector<HostId> hosts;
   for (const auto& [id, host] : m_hosts) {
-    if (host.has_orders && host.listed) {
+    if (host.has_orders && host.listed && !host.without_worker) {
       hosts.push_back(id);
     }
   }
@@ -366,6 +366,10 @@
     m_log({"run stopped", withdrawn, host.id(),
            "the worker's capacity has shrunk before it was started"});
   }
+  host.has_orders = false;
+  if (host.without_worker) {
+    return orders;
+  }
   const Instant now = m_clock.Now();
   for (auto& [run_id, run] : host.runs) {
     if (run.started && run.pace_pending) {
@@ -388,7 +392,6 @@
   orders.stops.insert(orders.stops.end(), host.orphans.begin(),
                       host.orphans.end());
   host.orphans.clear();
-  host.has_orders = false;
   return orders;
 }
 
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -119,7 +119,7 @@
   void OnWriteConflict(const std::map<JobId, std::uint64_t>& revisions);
 
   /// @returns the hosts with pending orders that have listed their runs in this
-  /// epoch.
+  /// epoch and whose agents have reached their workers.
   std::vector<HostId> HostsWithOrders() const;
   /// @returns the pending orders for `host`, and marks them as sent. `host`
   /// must be known.
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -85,6 +85,8 @@
   host.stamp = report.stamp;
   host.stamp_received = now;
   host.reachable = report.worker_reachable;
+  host.has_orders =
+      host.has_orders || (host.without_worker && report.incarnation);
   host.without_worker = !report.incarnation;
   if (report.facts) {
     if (!host.facts || host.facts->capacity != report.facts->capacity) {
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -346,6 +346,30 @@
   STRCMP_EQUAL("b", harness.HostsOf(job).at(0).c_str());
 }
 
+// A start without a grant is refused by the agent, while the same start from
+// the agent's previous process may still be on its way to the worker.
+TEST(Scheduler, AStartIsNotSentToAnAgentThatHasNotReachedItsWorker) {
+  harness.AddHost("a", 4);
+  harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  LONGS_EQUAL(1, harness.Orders("a").starts.size());
+  const HostReport reached = harness.report("a");
+  HostReport& report = harness.report("a");
+  report = HostReport();
+  report.agent = Incarnation(2);
+  harness.Report("a");
+  LONGS_EQUAL(0, harness.Orders("a").starts.size());
+  report.incarnation = reached.incarnation;
+  report.listed = report.worker_reachable = true;
+  harness.Report("a");
+  CHECK(harness.scheduler().HostsWithOrders() ==
+        std::vector<HostId>{HostId("a")});
+  const HostOrders orders = harness.Orders("a");
+  LONGS_EQUAL(1, orders.starts.size());
+  CHECK(orders.granted_stamp == report.stamp);
+}
+
 TEST(Scheduler, ARunOfAPreviousWorkerIncarnationHasEnded) {
   harness.AddHost("a", 4);
   const JobId job = harness.AddJob("job", MakeStep(1, 1000));
