--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -80,7 +80,7 @@
         m_directory.OnEvent(event);
         OnDirectoryChanged();
       },
-      [this](bool answering) { m_succession.OnStoreHealth(answering); });
+      clock, [this](bool answering) { m_succession.OnStoreHealth(answering); });
 }
 
 Result<void> EntryNode::Start() {
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -258,7 +258,7 @@
         m_work = std::make_unique<PrefixFollower>(
             m_loop, m_store, store_keys::kWorkPrefix, CatchUp::kByChanges,
             [this](const StoreSnapshot& snapshot) { OnWorkSnapshot(snapshot); },
-            [this](const StoreEvent& event) { OnWorkEvent(event); });
+            [this](const StoreEvent& event) { OnWorkEvent(event); }, m_clock);
         m_work->Start();
       });
 }
--- a/packages/site/prefix_follower.cc
+++ b/packages/site/prefix_follower.cc
@@ -29,12 +29,14 @@
                                CatchUp catch_up,
                                SnapshotHandler on_snapshot,
                                EventHandler on_event,
+                               const Clock& clock,
                                HealthHandler on_health)
     : m_store(store),
       m_prefix(std::move(prefix)),
       m_catch_up(catch_up),
       m_on_snapshot(std::move(on_snapshot)),
       m_on_event(std::move(on_event)),
+      m_clock(clock),
       m_on_health(std::move(on_health)),
       m_retry(loop) {}
 
@@ -54,20 +56,21 @@
 }
 
 void PrefixFollower::List() {
-  m_store.List(m_prefix, kListTimeout,
-               [this, session = std::weak_ptr<int>(m_session)](
-                   const Result<StoreSnapshot>& snapshot) {
-                 if (session.expired()) {
-                   return;
-                 }
-                 if (!snapshot) {
-                   return RetryLater(snapshot.error());
-                 }
-                 OnListed(*snapshot);
-               });
+  m_store.List(
+      m_prefix, kListTimeout,
+      [this, session = std::weak_ptr<int>(m_session),
+       sent_at = m_clock.Now()](const Result<StoreSnapshot>& snapshot) {
+        if (session.expired()) {
+          return;
+        }
+        if (!snapshot) {
+          return RetryLater(snapshot.error());
+        }
+        OnListed(*snapshot, sent_at);
+      });
 }
 
-void PrefixFollower::OnListed(const StoreSnapshot& snapshot) {
+void PrefixFollower::OnListed(const StoreSnapshot& snapshot, Instant sent_at) {
   ReportHealth(true);
   m_as_of = snapshot.as_of;
   m_synchronized = true;
@@ -78,26 +81,28 @@
   }
   const std::weak_ptr<int> session = m_session;
   m_on_snapshot(snapshot);
-  if (!session.expired()) {
-    Continue(has_changes, snapshot.received_in);
+  if (session.expired()) {
+    return;
   }
+  m_confirmed_at = sent_at;
+  Continue(has_changes, snapshot.received_in);
 }
 
 void PrefixFollower::Watch() {
   m_store.Watch(m_prefix, m_as_of, kWatchWait, kWatchWait + kWatchGrace,
-                [this, session = std::weak_ptr<int>(m_session)](
-                    const Result<StoreEvents>& events) {
+                [this, session = std::weak_ptr<int>(m_session),
+                 sent_at = m_clock.Now()](const Result<StoreEvents>& events) {
                   if (session.expired()) {
                     return;
                   }
                   if (!events) {
                     return RetryLater(events.error());
                   }
-                  OnWatched(*events);
+                  OnWatched(*events, sent_at);
                 });
 }
 
-void PrefixFollower::OnWatched(const StoreEvents& events) {
+void PrefixFollower::OnWatched(const StoreEvents& events, Instant sent_at) {
   ReportHealth(true);
   m_as_of = std::max(m_as_of, events.as_of);
   const std::weak_ptr<int> session = m_session;
@@ -108,6 +113,7 @@
       return;
     }
   }
+  m_confirmed_at = sent_at;
   Continue(!events.events.empty(), events.received_in);
 }
 
--- a/packages/site/prefix_follower.h
+++ b/packages/site/prefix_follower.h
@@ -3,8 +3,10 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "base/clock.h"
 #include "site/store_port.h"
 #include "site/timer.h"
 
@@ -39,6 +41,7 @@
                  CatchUp catch_up,
                  SnapshotHandler on_snapshot,
                  EventHandler on_event,
+                 const Clock& clock,
                  HealthHandler on_health = nullptr);
   ~PrefixFollower();
 
@@ -48,11 +51,16 @@
   /// handlers may call it, the health handler must not.
   void Stop();
 
+  /// @returns an instant up to which the handlers have received every change
+  /// that the store had acknowledged: when the last answered call was sent.
+  /// Nothing before the first answer.
+  std::optional<Instant> confirmed_at() const { return m_confirmed_at; }
+
  private:
   void List();
-  void OnListed(const StoreSnapshot& snapshot);
+  void OnListed(const StoreSnapshot& snapshot, Instant sent_at);
   void Watch();
-  void OnWatched(const StoreEvents& events);
+  void OnWatched(const StoreEvents& events, Instant sent_at);
   /// Lists or watches next.
   /// @param has_changes whether the last response contained a new value.
   void Continue(bool has_changes, Duration received_in);
@@ -64,13 +72,15 @@
   const CatchUp m_catch_up;
   const SnapshotHandler m_on_snapshot;
   const EventHandler m_on_event;
+  const Clock& m_clock;
   const HealthHandler m_on_health;
   Timer m_retry;
   /// Pending calls hold a weak reference: responses to calls of an earlier
   /// `Start` are ignored.
   std::shared_ptr<int> m_session;
-  std::uint64_t m_as_of = 0;    ///< Store revision that the next watch follows.
-  std::uint64_t m_newest = 0;   ///< Revision of the newest value received.
+  std::uint64_t m_as_of = 0;   ///< Store revision that the next watch follows.
+  std::uint64_t m_newest = 0;  ///< Revision of the newest value received.
+  std::optional<Instant> m_confirmed_at;
   bool m_synchronized = false;  ///< A watch can continue from `m_as_of`.
   bool m_answering = true;
 };
--- a/packages/site/tests/prefix_follower_test.cc
+++ b/packages/site/tests/prefix_follower_test.cc
@@ -75,6 +75,7 @@
 TEST_GROUP(PrefixFollower) {
   boost::asio::io_context loop;
   ManualStore store;
+  ManualClock clock;
   std::uint64_t seen = 0;
 
   PrefixFollower Make(CatchUp catch_up) {
@@ -83,7 +84,7 @@
         [this](const StoreSnapshot& snapshot) {
           seen = snapshot.items.at(0).revision;
         },
-        [this](const StoreEvent& event) { seen = event.item.revision; });
+        [this](const StoreEvent& event) { seen = event.item.revision; }, clock);
   }
 };
 
@@ -125,3 +126,18 @@
   CHECK(store.watches());
   CHECK_FALSE(store.lists());
 }
+
+/// Guards against a view whose age nobody knows: it counts from when the call
+/// was sent, as changes after that may be missing from the response.
+TEST(PrefixFollower, ViewIsAsOldAsTheLastAnsweredCall) {
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  CHECK_FALSE(follower.confirmed_at().has_value());
+  clock.Advance(Duration(40));
+  store.AnswerList(10, kFast);
+  LONGS_EQUAL(0, follower.confirmed_at()->milliseconds);
+  clock.Advance(Duration(700));
+  LONGS_EQUAL(0, follower.confirmed_at()->milliseconds);
+  store.AnswerWatch({}, kFast);
+  LONGS_EQUAL(40, follower.confirmed_at()->milliseconds);
+}
