Decide requests by a configuration that is recent enough

A route that had been added was refused with 404, and requests of a dropped one were served, more than two seconds after the change had been acknowledged.

Cause: an entry decided by the last version that its watch had delivered, however old that was. A watch is late when its connection stalls, and a process is late when it waits for its processor: then callers' requests lie in its sockets beside the watch's response, and those that are read first get the old answer.

Class: a view without an age. Each answered list or watch now tells when it was sent; up to then the view is complete. ConfigurationGate lets a request pass while that is less than the deadline of a change ago (bounds/config_apply_ms, less 200 ms), and otherwise reads the configuration first, on a connection of its own. So a request cannot be decided by a version that was replaced longer ago, whatever made the entry late. While the store cannot be read, known queues are served as before and an unknown one gets 503 instead of 404.

--- /dev/null
+++ b/packages/site/configuration_gate.cc
@@ -0,0 +1,85 @@
+#include "site/configuration_gate.h"
+
+#include <utility>
+
+#include "base/logging.h"
+
+#include <nlohmann/json.hpp>
+
+namespace zinniacart {
+namespace {
+
+/// The first read may meet a connection that no longer responds; its failure
+/// closes the idle ones.
+constexpr int kMaxAttempts = 2;
+/// Requests do not wait for the store again within this time after it could not
+/// be read.
+constexpr Duration kRetryInterval{500};
+
+}  // namespace
+
+ConfigurationGate::ConfigurationGate(Source source,
+                                     Duration max_age,
+                                     const Clock& clock)
+    : m_source(std::move(source)), m_max_age(max_age), m_clock(clock) {}
+
+void ConfigurationGate::Pass(Decision decide) {
+  if (IsCurrent()) {
+    return decide(true);
+  }
+  const bool failed_just_now =
+      m_failed_at && m_clock.Now() - *m_failed_at < kRetryInterval;
+  if (failed_just_now) {
+    return decide(false);
+  }
+  m_waiting.push_back(std::move(decide));
+  if (m_waiting.size() == 1) {
+    m_attempts = 0;
+    StartRefresh();
+  }
+}
+
+std::optional<Duration> ConfigurationGate::Age() const {
+  const auto confirmed_at = m_source.confirmed_at();
+  if (!confirmed_at) {
+    return std::nullopt;
+  }
+  return m_clock.Now() - *confirmed_at;
+}
+
+bool ConfigurationGate::IsCurrent() const {
+  const auto age = Age();
+  return age && *age <= m_max_age;
+}
+
+void ConfigurationGate::StartRefresh() {
+  ++m_attempts;
+  m_source.refresh([this](bool refreshed) { OnRefreshed(refreshed); });
+}
+
+void ConfigurationGate::OnRefreshed(bool refreshed) {
+  // The watch may have delivered it meanwhile.
+  if (IsCurrent()) {
+    m_failed_at.reset();
+    return DecideWaiting();
+  }
+  // A read that took longer than the allowed age proves nothing.
+  if (m_attempts < kMaxAttempts) {
+    return StartRefresh();
+  }
+  LogWarning("configuration may be outdated: the store cannot be read",
+             {{"age_ms", Age().value_or(Duration(0)).count()},
+              {"answered", refreshed},
+              {"requests", m_waiting.size()}});
+  m_failed_at = m_clock.Now();
+  DecideWaiting();
+}
+
+void ConfigurationGate::DecideWaiting() {
+  const auto waiting = std::exchange(m_waiting, {});
+  for (const Decision& decide : waiting) {
+    decide(IsCurrent());
+  }
+}
+
+}  // namespace zinniacart
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,7 +3,8 @@
 Speaks its published protocol: items with revisions, listings in pages, watches,
 transactions, leases. Faults are set by tests: `mode` turns callers away,
 `lose_answers` carries writes out without answering, `drop_history` makes
-watches fail as after a compaction.
+watches fail as after a compaction, `stall_watches` leaves watches unanswered
+while everything else is served.
 """
 
 import base64
@@ -31,6 +32,8 @@
         self.next_lease = 1000
         self.mode = None
         self.lose_answers = 0
+        self.stall_watches = False
+        self.stalled_watches = 0
         threading.Thread(target=self._expire, daemon=True).start()
 
     # Operators write here, past the rules for the system.
@@ -208,6 +211,9 @@
         if url.path == "/v1/kv-range":
             return self.store.list(query["prefix"], query.get("after", ""))
         if url.path == "/v1/kv-watch":
+            self.store.stalled_watches += self.store.stall_watches
+            while self.store.stall_watches:
+                time.sleep(0.05)
             return self.store.watch(query["prefix"], int(query["after"]),
                                     int(query["wait_ms"]))
         return 404, {}
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -1,18 +1,33 @@
 """Promises on the users' platform, through the real daemons and stand-ins."""
 
 import signal
+import socket
 import sys
 import time
 import unittest
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tools"))
-from platform_site import QUEUE, PlatformSite, wait_for  # noqa: E402
+from platform_site import HOST_HEADER, QUEUE, PlatformSite, wait_for  # noqa: E402
+
+# By then after its acknowledgement a configuration must be in force.
+CONFIGURATION_DEADLINE_SECONDS = 2.0
 
 STEPS = [{"count": 3, "cpu": 500, "mem_mb": 100, "estimate_ms": 200},
          {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 200, "after": [0]}]
 
 
+def ask(caller, path):
+    """Sends a request on an open connection."""
+    caller.sendall(f"GET {path} HTTP/1.1\r\nHost: {HOST_HEADER}\r\n\r\n".encode())
+
+
+def answer(caller, patience=5):
+    """@returns the status of the response to the last request of the connection."""
+    caller.settimeout(patience)
+    return int(caller.recv(4096).split(b" ")[1])
+
+
 class Platform(unittest.TestCase):
 
     def assert_each_task_ran_once_at_a_time(self, site, job):
@@ -181,6 +196,41 @@
             wait_for("the new queue is known",
                      lambda: site.call("GET", "/more/")[0] == 200)
 
+    def test_requests_that_waited_out_a_pause_are_decided_by_the_newest_configuration(self):
+        """They lie in the entry's sockets beside the watch's response."""
+        with PlatformSite(entries=2) as site:
+            paused = next(entry for entry in site.entries if entry is not site.owner())
+            site.configure(2, (QUEUE, "/dropped/"))
+            wait_for("the route is there", lambda: site.call(
+                "GET", "/dropped/", entry=site.entries.index(paused))[0] == 200)
+            callers = [socket.create_connection(("127.0.0.1", paused.ports[1]))
+                       for _ in range(20)]
+            for caller in callers:
+                ask(caller, QUEUE)
+                self.assertEqual(200, answer(caller))
+            paused.child.send_signal(signal.SIGSTOP)
+            site.configure(3, (QUEUE, "/added/"))
+            time.sleep(CONFIGURATION_DEADLINE_SECONDS + 0.1)
+            for number, caller in enumerate(callers):
+                ask(caller, "/dropped/" if number % 2 else "/added/")
+            paused.child.send_signal(signal.SIGCONT)
+            answers = [answer(caller) for caller in callers]
+            for caller in callers:
+                caller.close()
+            self.assertEqual([200, 404] * 10, answers)
+
+    def test_a_new_configuration_is_in_force_in_time_while_watches_stall(self):
+        with PlatformSite() as site:
+            site.store.stall_watches = True
+            time.sleep(1.5)  # The watches that were waiting have been answered.
+            self.assertGreater(site.store.stalled_watches, 0)
+            site.configure(2, (QUEUE, "/added/"))
+            time.sleep(CONFIGURATION_DEADLINE_SECONDS)
+            for entry in range(2):
+                status, _ = site.call("GET", "/added/" + "0" * 16, entry=entry)
+                self.assertEqual(410, status)  # The queue is known, the job is not.
+            site.store.stall_watches = False
+
     def test_a_worker_that_restarts_under_its_id_has_lost_its_tasks(self):
         with PlatformSite(hosts=1) as site:
             job = site.submit(STEPS, seconds=1.0)
