Do not let callers wait again for a store that cannot be read

Tests: RequestsDoNotWaitForAStoreThatCannotBeRead, RequestsWaitAgainOnceTheStoreWasRead; they were not run on the form before.

--- a/packages/site/configuration_gate.cc
+++ b/packages/site/configuration_gate.cc
@@ -12,9 +12,8 @@
 /// The first read may meet a connection that no longer responds; its failure
 /// closes the idle ones.
 constexpr int kMaxAttempts = 2;
-/// Requests do not wait for the store again within this time after it could not
-/// be read.
-constexpr Duration kRetryInterval{500};
+/// Between the reads of a store that cannot be read.
+constexpr Duration kRetryInterval{200};
 
 }  // namespace
 
@@ -25,16 +24,18 @@
 
 void ConfigurationGate::Pass(Decision decide) {
   if (IsCurrent()) {
+    m_attempts = 0;
+    m_failed_at.reset();
     return decide(true);
   }
-  const bool failed_just_now =
-      m_failed_at && m_clock.Now() - *m_failed_at < kRetryInterval;
-  if (failed_just_now) {
-    return decide(false);
+  const bool retry =
+      !m_failed_at || m_clock.Now() - *m_failed_at >= kRetryInterval;
+  if (m_failed_at) {
+    decide(false);
+  } else {
+    m_waiting.push_back(std::move(decide));
   }
-  m_waiting.push_back(std::move(decide));
-  if (m_waiting.size() == 1) {
-    m_attempts = 0;
+  if (retry && !m_refreshing) {
     StartRefresh();
   }
 }
@@ -53,13 +54,16 @@
 }
 
 void ConfigurationGate::StartRefresh() {
+  m_refreshing = true;
   ++m_attempts;
   m_source.refresh([this](bool refreshed) { OnRefreshed(refreshed); });
 }
 
 void ConfigurationGate::OnRefreshed(bool refreshed) {
+  m_refreshing = false;
   // The watch may have delivered it meanwhile.
   if (IsCurrent()) {
+    m_attempts = 0;
     m_failed_at.reset();
     return DecideWaiting();
   }
@@ -67,10 +71,12 @@
   if (m_attempts < kMaxAttempts) {
     return StartRefresh();
   }
-  LogWarning("configuration may be outdated: the store cannot be read",
-             {{"age_ms", Age().value_or(Duration(0)).count()},
-              {"answered", refreshed},
-              {"requests", m_waiting.size()}});
+  if (!m_failed_at) {
+    LogWarning("configuration may be outdated: the store cannot be read",
+               {{"age_ms", Age().value_or(Duration(0)).count()},
+                {"answered", refreshed},
+                {"requests", m_waiting.size()}});
+  }
   m_failed_at = m_clock.Now();
   DecideWaiting();
 }
--- a/packages/site/configuration_gate.h
+++ b/packages/site/configuration_gate.h
@@ -19,9 +19,9 @@
 /// ago; where it may not, the store is read first. Costs a few milliseconds for
 /// the requests that wait.
 ///
-/// While the store cannot be read, requests go on with the configuration as it
-/// is, and are told so: an entry that has lost the store still serves what its
-/// peers can store.
+/// Once the store could not be read, requests do not wait until it can be read
+/// again. They go on with the configuration as it is, and are told so: an entry
+/// that has lost the store still serves what its peers can store.
 class ConfigurationGate final {
  public:
   /// Reads the configuration; calls `done` once with whether it could be read.
@@ -41,7 +41,7 @@
   ConfigurationGate(Source source, Duration max_age, const Clock& clock);
 
   /// Calls `decide` once: at once while the configuration is recent enough or
-  /// the store could not be read just now, else after it was read.
+  /// the store cannot be read, else after it was read.
   void Pass(Decision decide);
 
   /// @returns for how long the store may have acknowledged versions that the
@@ -58,7 +58,9 @@
   const Duration m_max_age;
   const Clock& m_clock;
   std::vector<Decision> m_waiting;
-  int m_attempts = 0;  ///< Of the reads for the requests that wait.
+  bool m_refreshing = false;
+  int m_attempts = 0;  ///< Reads since the last one that was recent enough.
+  /// When the store was found to be unreadable; nothing while it can be read.
   std::optional<Instant> m_failed_at;
 };
 
--- a/packages/site/tests/configuration_gate_test.cc
+++ b/packages/site/tests/configuration_gate_test.cc
@@ -81,7 +81,7 @@
   CHECK(decided_current);
 }
 
-TEST(ConfigurationGate, RequestsAreToldWhenTheStoreCannotBeRead) {
+TEST(ConfigurationGate, RequestsDoNotWaitForAStoreThatCannotBeRead) {
   clock.Advance(kMaxAge + Duration(1));
   Pass();
   AnswerRefresh(false, {});
@@ -89,16 +89,36 @@
   AnswerRefresh(false, {});
   LONGS_EQUAL(1, decided);
   CHECK_FALSE(decided_current);
-  // The next ones do not wait for the store again at once.
   Pass();
   LONGS_EQUAL(2, decided);
   CHECK_FALSE(decided_current);
   LONGS_EQUAL(2, refreshes);
-  clock.Advance(Duration(500));
+  clock.Advance(Duration(200));
   Pass();
+  LONGS_EQUAL(3, decided);
   LONGS_EQUAL(3, refreshes);
+  Pass();
+  LONGS_EQUAL(4, decided);
+  CHECK_FALSE(decided_current);
+  LONGS_EQUAL(3, refreshes);
+}
+
+TEST(ConfigurationGate, RequestsWaitAgainOnceTheStoreWasRead) {
+  clock.Advance(kMaxAge + Duration(1));
+  Pass();
+  AnswerRefresh(false, {});
+  AnswerRefresh(false, {});
+  clock.Advance(Duration(200));
+  Pass();
   AnswerRefresh(true, clock.Now());
+  Pass();
+  LONGS_EQUAL(3, decided);
+  CHECK(decided_current);
+  clock.Advance(kMaxAge + Duration(1));
+  Pass();
   LONGS_EQUAL(3, decided);
+  AnswerRefresh(true, clock.Now());
+  LONGS_EQUAL(4, decided);
   CHECK(decided_current);
 }
 
