List the configuration after a failed watch

What callers saw: an entry that the store had turned away for some seconds answered by the old configuration for seconds after the store served it again, longer than the 3 s after which it counts as undisturbed.

Cause: the follower watched on from the revision that it had, and a watch returns every version written since then. After slow responses it listed already; a failed watch is the same case.

A listing has the newest version only. Followers that need every change watch on as before, and have a test for it.

--- a/packages/site/prefix_follower.cc
+++ b/packages/site/prefix_follower.cc
@@ -132,6 +132,8 @@
         {{"prefix", m_prefix}});
     m_synchronized = false;
   } else {
+    // A watch would return all versions written while the store was away.
+    m_synchronized = m_synchronized && m_catch_up == CatchUp::kByChanges;
     ReportHealth(false);
   }
   m_retry.After(kRetryDelay, [this] { m_synchronized ? Watch() : List(); });
--- a/packages/site/prefix_follower.h
+++ b/packages/site/prefix_follower.h
@@ -25,7 +25,8 @@
 /// `CatchUp::kByListing` serves large values that are rewritten often and read
 /// over a slow link: a watch returns every version, so that the follower would
 /// fall further and further behind. With this setting a slow response is
-/// followed by listings until one contains nothing new.
+/// followed by listings until one contains nothing new, and a failed watch by a
+/// listing.
 class PrefixFollower final {
  public:
   using SnapshotHandler = std::function<void(const StoreSnapshot&)>;
--- a/packages/site/tests/prefix_follower_test.cc
+++ b/packages/site/tests/prefix_follower_test.cc
@@ -58,6 +58,10 @@
     std::exchange(m_watch, nullptr)(std::move(events));
   }
 
+  void FailWatch(ErrorCode code) {
+    std::exchange(m_watch, nullptr)(Fail(code, "no response"));
+  }
+
  private:
   StoreCallback<StoreSnapshot> m_list;
   StoreCallback<StoreEvents> m_watch;
@@ -141,3 +145,30 @@
   store.AnswerWatch({}, kFast);
   LONGS_EQUAL(40, follower.confirmed_at()->milliseconds);
 }
+
+/// Guards against a follower that reads every version of a large value after
+/// the store was unavailable, and is outdated for seconds more.
+TEST(PrefixFollower, ListsAfterAFailedWatch) {
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  store.FailWatch(ErrorCode::kStoreUnavailable);
+  loop.run();
+  CHECK(store.lists());
+  CHECK_FALSE(store.watches());
+  store.AnswerList(22, kFast);
+  LONGS_EQUAL(22, seen);
+  CHECK(store.watches());
+  LONGS_EQUAL(22, store.watched_after());
+}
+
+TEST(PrefixFollower, WatchesOnAfterAFailedWatchIfEveryChangeIsNeeded) {
+  PrefixFollower follower = Make(CatchUp::kByChanges);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  store.FailWatch(ErrorCode::kStoreUnavailable);
+  loop.run();
+  CHECK_FALSE(store.lists());
+  CHECK(store.watches());
+  LONGS_EQUAL(10, store.watched_after());
+}
