List the configuration after a response that is handled late

What callers saw: an entry that had been halted for 4 s answered by an old configuration for more than 4 s after it went on.

Cause: the response that waited for it held one version; the next watch returned all versions written while it was halted, which take seconds over a thin link. How long the response took to receive doesn't show this, since it had arrived long before it was read.

The test failed before: prefix_follower_test.cc:184: error: Failure in TEST(PrefixFollower, ListsAfterAResponseThatIsHandledLate) CHECK(store.lists()) failed

A call that took longer than a watch may take, apart from the time in which its response came in, is followed by a listing. Watches that end without news, and listings that are long because of the link, are not.

--- a/packages/site/prefix_follower.cc
+++ b/packages/site/prefix_follower.cc
@@ -85,7 +85,7 @@
     return;
   }
   m_confirmed_at = sent_at;
-  Continue(has_changes, snapshot.received_in);
+  Continue(has_changes, snapshot.received_in, sent_at);
 }
 
 void PrefixFollower::Watch() {
@@ -114,11 +114,17 @@
     }
   }
   m_confirmed_at = sent_at;
-  Continue(!events.events.empty(), events.received_in);
+  Continue(!events.events.empty(), events.received_in, sent_at);
 }
 
-void PrefixFollower::Continue(bool has_changes, Duration received_in) {
-  const bool may_be_outdated = has_changes && received_in > kSlowResponse;
+void PrefixFollower::Continue(bool has_changes,
+                              Duration received_in,
+                              Instant sent_at) {
+  // Only a halted process or a late event loop makes a call take this long.
+  const bool handled_late =
+      m_clock.Now() - sent_at - received_in > kWatchWait + kWatchGrace;
+  const bool may_be_outdated =
+      handled_late || (has_changes && received_in > kSlowResponse);
   if (may_be_outdated && m_catch_up == CatchUp::kByListing) {
     return List();
   }
--- a/packages/site/prefix_follower.h
+++ b/packages/site/prefix_follower.h
@@ -25,8 +25,8 @@
 /// `CatchUp::kByListing` serves large values that are rewritten often and read
 /// over a slow link: a watch returns every version, so that the follower would
 /// fall further and further behind. With this setting a slow response is
-/// followed by listings until one contains nothing new, and a failed watch by a
-/// listing.
+/// followed by listings until one contains nothing new, and a watch that failed
+/// or was handled late by a listing.
 class PrefixFollower final {
  public:
   using SnapshotHandler = std::function<void(const StoreSnapshot&)>;
@@ -64,7 +64,8 @@
   void OnWatched(const StoreEvents& events, Instant sent_at);
   /// Lists or watches next.
   /// @param has_changes whether the last response contained a new value.
-  void Continue(bool has_changes, Duration received_in);
+  /// @param sent_at when its call was sent.
+  void Continue(bool has_changes, Duration received_in, Instant sent_at);
   void RetryLater(const Error& error);
   void ReportHealth(bool answering);
 
--- a/packages/site/tests/prefix_follower_test.cc
+++ b/packages/site/tests/prefix_follower_test.cc
@@ -172,3 +172,44 @@
   CHECK(store.watches());
   LONGS_EQUAL(10, store.watched_after());
 }
+
+/// Guards against a process that was halted and then reads every version that
+/// was written meanwhile.
+TEST(PrefixFollower, ListsAfterAResponseThatIsHandledLate) {
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  clock.Advance(Duration(4000));
+  store.AnswerWatch({11}, kFast);
+  CHECK(store.lists());
+  CHECK_FALSE(store.watches());
+  store.AnswerList(22, kFast);
+  CHECK(store.watches());
+  clock.Advance(Duration(4000));
+  store.AnswerWatch({}, kFast);
+  CHECK(store.lists());
+  store.AnswerList(34, kFast);
+  LONGS_EQUAL(34, seen);
+  CHECK(store.watches());
+}
+
+TEST(PrefixFollower, WatchesOnAfterWaitingInVain) {
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  clock.Advance(Duration(700));
+  store.AnswerWatch({}, kFast);
+  CHECK(store.watches());
+  CHECK_FALSE(store.lists());
+}
+
+TEST(PrefixFollower, WatchesOnAfterALongListingWithoutNews) {
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  store.AnswerWatch({11}, kSlow);
+  clock.Advance(kSlow);
+  store.AnswerList(11, kSlow);
+  CHECK(store.watches());
+  CHECK_FALSE(store.lists());
+}
