Let a listing outlast a lost opening packet

What callers saw: an entry whose new connections to the store take a second to open never got another configuration, or none at all after its start.

Cause: TCP repeats a lost opening packet after a second, and a listing was given up after 1,000 ms, just before. The next one opened another connection, with the same result. A watch may take 1,300 ms and succeeds. Since a failed watch is followed by a listing, this limit matters each time that connections are lost.

The test failed before: prefix_follower_test.cc:227: error: Failure in TEST(PrefixFollower, ListingMayWaitForARepeatedOpeningPacket) CHECK(store.list_timeout() >= kRepeatedAfter + kRoundTrips) failed

A listing may now take as long as a watch.

--- a/packages/site/prefix_follower.cc
+++ b/packages/site/prefix_follower.cc
@@ -15,7 +15,8 @@
 constexpr Duration kWatchWait{700};
 /// How long after the end of the wait a watch's response may arrive.
 constexpr Duration kWatchGrace{600};
-constexpr Duration kListTimeout{1000};
+/// Longer than the second after which TCP repeats a lost opening packet.
+constexpr Duration kListTimeout{1300};
 constexpr Duration kRetryDelay{150};
 /// If a response takes longer than this to receive, newer versions of its
 /// values may have been written meanwhile.
--- a/packages/site/tests/prefix_follower_test.cc
+++ b/packages/site/tests/prefix_follower_test.cc
@@ -15,8 +15,9 @@
  public:
   void Get(const std::string&, Duration, StoreCallback<StoreItem>) override {}
   void List(const std::string&,
-            Duration,
+            Duration timeout,
             StoreCallback<StoreSnapshot> done) override {
+    m_list_timeout = timeout;
     m_list = std::move(done);
   }
   void Watch(const std::string&,
@@ -37,6 +38,7 @@
   bool lists() const { return m_list != nullptr; }
   bool watches() const { return m_watch != nullptr; }
   std::uint64_t watched_after() const { return m_watched_after; }
+  Duration list_timeout() const { return m_list_timeout; }
 
   void AnswerList(std::uint64_t revision, Duration received_in) {
     StoreSnapshot snapshot;
@@ -66,6 +68,7 @@
   StoreCallback<StoreSnapshot> m_list;
   StoreCallback<StoreEvents> m_watch;
   std::uint64_t m_watched_after = 0;
+  Duration m_list_timeout{0};
 };
 
 constexpr Duration kFast{5};
@@ -213,3 +216,13 @@
   CHECK(store.watches());
   CHECK_FALSE(store.lists());
 }
+
+/// Guards against listings that fail one after another where each connection
+/// takes a second to open: TCP repeats a lost opening packet after that time.
+TEST(PrefixFollower, ListingMayWaitForARepeatedOpeningPacket) {
+  constexpr Duration kRepeatedAfter{1000};
+  constexpr Duration kRoundTrips{200};
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  CHECK(store.list_timeout() >= kRepeatedAfter + kRoundTrips);
+}
