Reject stored job records beyond the limits of a job

Cause: the owner allocates one entry per task and occurrence, indexes steps by `after`, and names tasks by the job's id, but DecodeJobRecord did not validate the specification, and the JSON library converts numbers that do not fit: negative ones wrap around, floating-point ones are undefined behaviour. A job with an empty id has task names that cannot be parsed, so that an agent rejects all orders with one.

Fix: base/json_text reads JSON from outside the process. It bounds the nesting before it parses and the range of each integer. The job record is read with it and then validated as a submission is. All occurrences of a job together have at most 1,000,000 tasks, for submissions too.

--- a/packages/jobs/job_record.cc
+++ b/packages/jobs/job_record.cc
@@ -1,12 +1,18 @@
 #include "jobs/job_record.h"
 
+#include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace zinniacart {
 namespace {
 
 using nlohmann::json;
 
+using Int64 = std::numeric_limits<std::int64_t>;
+
 json EncodeStep(const StepSpec& step) {
   json row{{"count", step.count},
            {"millicores", step.demand.millicores},
@@ -36,25 +42,25 @@
 
 StepSpec DecodeStep(const json& row) {
   StepSpec step;
-  step.count = row.at("count");
-  step.demand.millicores = row.at("millicores");
-  step.demand.memory_mb = row.at("memory_mb");
-  step.estimate = Duration(row.at("estimate_ms").get<std::int64_t>());
-  step.demand.accelerators = row.value("accelerators", std::int64_t{0});
-  step.after = row.value("after", std::vector<std::uint32_t>{});
+  step.count = ReadCountField(row, "count");
+  step.demand.millicores = ReadIntegerField(row, "millicores");
+  step.demand.memory_mb = ReadIntegerField(row, "memory_mb");
+  step.estimate = Duration(ReadIntegerField(row, "estimate_ms"));
+  step.demand.accelerators = ReadOptionalIntegerField(row, "accelerators");
+  step.after = ReadOptionalCountsField(row, "after");
   step.checkpoints = row.value("checkpoints", false);
   step.gang = row.value("gang", false);
   step.same_rack = row.value("same_rack", false);
   step.required_label = row.value("label", std::string());
   step.preferred_rack = row.value("rack", std::string());
-  step.most_per_host = row.value("most_per_host", 0U);
+  step.most_per_host = ReadOptionalCountField(row, "most_per_host");
   step.speculative = row.value("speculative", false);
   step.perpetual = row.value("perpetual", false);
   step.image = row.value("image", std::string());
   step.latency_target =
-      Duration(row.value("latency_target_ms", std::int64_t{0}));
+      Duration(ReadOptionalIntegerField(row, "latency_target_ms"));
   step.best_effort = row.value("best_effort", false);
-  step.disruption_budget = row.value("disruption_budget", 0U);
+  step.disruption_budget = ReadOptionalCountField(row, "disruption_budget");
   return step;
 }
 
@@ -70,10 +76,15 @@
 QueuePolicy DecodePolicy(const json& row) {
   QueuePolicy policy;
   policy.service = ServiceId(row.at("service").get<std::string>());
-  policy.priority = row.at("priority");
-  policy.max_attempts = row.at("max_attempts");
+  policy.priority = static_cast<int>(
+      ReadIntegerField(row, "priority", std::numeric_limits<int>::min(),
+                       std::numeric_limits<int>::max()));
+  policy.max_attempts = ReadCountField(row, "max_attempts");
   policy.stretch = row.at("stretch");
-  policy.objective = Duration(row.at("objective_ms").get<std::int64_t>());
+  // It is as declared, so it is bounded here instead of rejected.
+  policy.objective = Duration(std::clamp(
+      ReadIntegerField(row, "objective_ms", Int64::min(), Int64::max()),
+      -kMaxJsonInteger, kMaxJsonInteger));
   policy.needs_advice = row.value("needs_advice", false);
   return policy;
 }
@@ -95,29 +106,38 @@
                        {"first_at_ms", record.spec.schedule.first_at_ms},
                        {"interval_ms", record.spec.schedule.interval.count()}};
   }
-  return row.dump(-1, ' ', false, json::error_handler_t::replace);
+  return DumpJson(row);
 }
 
 Result<JobRecord> DecodeJobRecord(const JobId& id, const std::string& bytes) {
   try {
-    const json row = json::parse(bytes);
+    if (id.value().empty()) {
+      return Fail(ErrorCode::kInvalidArgument, "the job's id is empty", "id");
+    }
+    const json row = ParseJson(bytes);
     JobRecord record;
     record.id = id;
     record.queue = QueueId(row.at("queue").get<std::string>());
     record.policy = DecodePolicy(row.at("policy"));
-    record.accepted_at_ms = row.at("accepted_at_ms");
+    record.accepted_at_ms = ReadIntegerField(row, "accepted_at_ms");
     record.spec.payload = row.at("payload");
     for (const json& step : row.at("steps")) {
       record.spec.steps.push_back(DecodeStep(step));
     }
     if (const auto schedule = row.find("schedule"); schedule != row.end()) {
-      record.spec.schedule.occurrences = schedule->at("occurrences");
-      record.spec.schedule.first_at_ms = schedule->at("first_at_ms");
+      record.spec.schedule.occurrences =
+          ReadCountField(*schedule, "occurrences");
+      record.spec.schedule.first_at_ms =
+          ReadIntegerField(*schedule, "first_at_ms", -kMaxJsonInteger);
       record.spec.schedule.interval =
-          Duration(schedule->at("interval_ms").get<std::int64_t>());
+          Duration(ReadIntegerField(*schedule, "interval_ms"));
+    }
+    const auto valid = Validate(record.spec);
+    if (!valid) {
+      return tl::unexpected(valid.error());
     }
     return record;
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) {
     return Fail(ErrorCode::kInvalidArgument, error.what(), "job " + id.value());
   }
 }
--- a/packages/jobs/tests/job_spec_test.cc
+++ b/packages/jobs/tests/job_spec_test.cc
@@ -132,3 +132,81 @@
   CHECK(state.error().code == ErrorCode::kInvalidArgument);
   STRCMP_CONTAINS("paused", state.error().detail.c_str());
 }
+
+namespace {
+
+/// @returns the text of a valid record in which `from` is replaced by `to`.
+std::string ChangeRecord(const std::string& from, const std::string& to) {
+  JobRecord record;
+  record.queue = QueueId("orders");
+  record.policy.max_attempts = 2;
+  record.accepted_at_ms = 1700000000000;
+  record.spec.payload = "text";
+  record.spec.steps = {MakeStep(3, 100), MakeStep(4, 200, {0})};
+  record.spec.schedule = Schedule{5, 1700000000000, Duration(500)};
+  std::string text = EncodeJobRecord(record);
+  const auto found = text.find(from);
+  CHECK_TEXT(found != std::string::npos, from.c_str());
+  return text.replace(found, from.size(), to);
+}
+
+bool IsRecord(const std::string& text) {
+  return DecodeJobRecord(JobId("5c0e7a21d94b36f8"), text).has_value();
+}
+
+}  // namespace
+
+// A record of another writer must not make the owner allocate or index by its
+// numbers: each following owner would end in the same way.
+TEST(JobSpec, StoredRecordBeyondTheLimitsIsRejected) {
+  CHECK(IsRecord(ChangeRecord("\"count\":3", "\"count\":3")));
+  for (const auto& [from, to] :
+       {std::pair("\"count\":3", "\"count\":1000000000"),
+        std::pair("\"count\":3", "\"count\":-1"),
+        std::pair("\"count\":3", "\"count\":18446744073709551615"),
+        std::pair("\"count\":3", "\"count\":1e300"),
+        std::pair("\"count\":3", "\"count\":0"),
+        std::pair("\"occurrences\":5", "\"occurrences\":1000000000"),
+        std::pair("\"occurrences\":5", "\"occurrences\":-1"),
+        std::pair("\"after\":[0]", "\"after\":[1]"),
+        std::pair("\"after\":[0]", "\"after\":[4294967295]"),
+        std::pair("\"after\":[0]", "\"after\":0"),
+        std::pair("\"millicores\":500", "\"millicores\":-500"),
+        std::pair("\"millicores\":500", "\"millicores\":9223372036854775807"),
+        std::pair("\"estimate_ms\":100", "\"estimate_ms\":1e19"),
+        std::pair("\"accepted_at_ms\":1700000000000",
+                  "\"accepted_at_ms\":-9223372036854775808"),
+        std::pair("\"first_at_ms\":1700000000000",
+                  "\"first_at_ms\":9223372036854775807"),
+        std::pair("\"interval_ms\":500", "\"interval_ms\":1e999"),
+        std::pair("\"max_attempts\":2", "\"max_attempts\":4294967296"),
+        std::pair("\"queue\":\"orders\"", "\"queue\":[]")}) {
+    CHECK_FALSE_TEXT(IsRecord(ChangeRecord(from, to)), to);
+  }
+}
+
+TEST(JobSpec, StoredRecordWithDeepNestingIsRejected) {
+  const std::string nested =
+      std::string(100000, '[') + std::string(100000, ']');
+  CHECK_FALSE(IsRecord(nested));
+  CHECK_FALSE(IsRecord(ChangeRecord("[0]", nested)));
+  CHECK_FALSE(IsRecord(ChangeRecord("\"text\"", nested)));
+}
+
+// The names of its tasks could not be parsed, so that an agent would reject all
+// orders that contain one.
+TEST(JobSpec, StoredRecordWithoutAnIdIsRejected) {
+  const std::string text = ChangeRecord("orders", "orders");
+  CHECK_FALSE(DecodeJobRecord(JobId(), text).has_value());
+}
+
+TEST(JobSpec, TasksOfAllOccurrencesAreLimited) {
+  JobSpec spec;
+  spec.steps = {MakeStep(10000, 1), MakeStep(10, 1)};
+  spec.schedule.occurrences = 99;
+  CHECK(Validate(spec).has_value());
+  spec.schedule.occurrences = 100;
+  STRCMP_EQUAL("occurrences", Validate(spec).error().field.c_str());
+  spec.schedule.occurrences = 4294967295;
+  STRCMP_EQUAL("occurrences", Validate(spec).error().field.c_str());
+}
