--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -100,7 +100,7 @@
   std::erase_if(m_ended, [&](const EndedTask& ended) {
     return ended.number <= call.recorded_ends;
   });
-  WorkerLists lists{m_incarnation, Now(), {}, m_ended};
+  WorkerLists lists{m_incarnation, Now(), {}, m_ended, {}};
   for (const auto& [id, run] : m_runs) {
     lists.running.push_back(RunningTask{id, {}, 0, 0});
   }
--- a/packages/hosting/worker_calls.h
+++ b/packages/hosting/worker_calls.h
@@ -63,6 +63,8 @@
   std::vector<RunningTask> running;
   /// In ascending order of their numbers, without those it may forget.
   std::vector<EndedTask> ended;
+  /// Why the first row that was left out cannot be decoded; empty if none was.
+  std::string unreadable;
 };
 
 /// The result of a start call.
--- a/packages/site/agent_node.cc
+++ b/packages/site/agent_node.cc
@@ -105,6 +105,14 @@
                               : "hold call to the worker failed",
               {{"detail", lists ? std::string() : lists.error().detail}});
     }
+    if (lists && lists->unreadable != m_unreadable_row) {
+      m_unreadable_row = lists->unreadable;
+      LogWarning(
+          m_unreadable_row.empty()
+              ? "all rows of the worker's lists can be decoded again"
+              : "row of the worker's lists ignored: it cannot be decoded",
+          {{"detail", m_unreadable_row}});
+    }
     m_supervisor.OnHoldAnswered(call, lists);
     SendCallsAndReports();
   });
--- a/packages/site/agent_node.h
+++ b/packages/site/agent_node.h
@@ -80,6 +80,8 @@
   bool m_sending_calls = false;
   /// Whether the last hold succeeded, to log only when this changes.
   bool m_holds_succeed = true;
+  /// As in the worker's last lists.
+  std::string m_unreadable_row;
 };
 
 }  // namespace zinniacart
