Check the range of numbers in messages between owner and agents

Cause: numbers of a message were converted without a range check: a lease stamp of 2^63 - 1 overflows when the lease is added to it, an epoch of 2^64 - 1 is adopted for good, enumerators had any value, and text that is not UTF-8 made the encoder throw on the event loop.

Fix: the codec reads integers with ReadInteger, parses with ParseJson and writes with DumpJson.

--- a/packages/scheduling/host_messages_codec.cc
+++ b/packages/scheduling/host_messages_codec.cc
@@ -1,12 +1,42 @@
 #include "scheduling/host_messages_codec.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace zinniacart {
 namespace {
 
 using nlohmann::json;
 
+std::uint64_t ReadNumber(const json& value, const char* name) {
+  return static_cast<std::uint64_t>(ReadInteger(value, name));
+}
+
+/// Reads an integer that may be negative.
+std::int64_t ReadSigned(const json& value, const char* name) {
+  return ReadInteger(value, name, -kMaxJsonInteger);
+}
+
+/// Reads an enumerator.
+/// @param last the greatest enumerator.
+template <typename Enum>
+Enum ReadEnum(const json& value, const char* name, Enum last) {
+  return static_cast<Enum>(
+      ReadInteger(value, name, 0, static_cast<std::int64_t>(last)));
+}
+
+int ReadPercent(const json& value) {
+  return static_cast<int>(ReadInteger(value, "percent",
+                                      std::numeric_limits<int>::min(),
+                                      std::numeric_limits<int>::max()));
+}
+
+WorkerIncarnation ReadIncarnation(const json& value) {
+  return WorkerIncarnation(ReadSigned(value, "incarnation"));
+}
+
 json EncodeRun(const TaskRun& id) {
   return json::array({id.task.ToString(), id.run.value()});
 }
@@ -16,7 +46,7 @@
   if (!task) {
     throw std::invalid_argument("task " + row.at(0).dump());
   }
-  return TaskRun{*task, RunNumber(row.at(1).get<std::uint64_t>())};
+  return TaskRun{*task, RunNumber(ReadNumber(row.at(1), "run"))};
 }
 
 json EncodeFacts(const WorkerFacts& facts) {
@@ -41,17 +71,18 @@
 WorkerFacts DecodeFacts(const json& row) {
   WorkerFacts facts;
   facts.worker = row.at("worker");
-  facts.incarnation =
-      WorkerIncarnation(row.at("incarnation").get<std::int64_t>());
+  facts.incarnation = ReadIncarnation(row.at("incarnation"));
   facts.domain = DomainId(row.at("domain").get<std::string>());
   facts.service = ServiceId(row.at("service").get<std::string>());
   const json& capacity = row.at("capacity");
-  facts.capacity = Resources{capacity.at(0), capacity.at(1), capacity.at(2)};
+  facts.capacity = Resources{ReadInteger(capacity.at(0), "millicores"),
+                             ReadInteger(capacity.at(1), "memory_mb"),
+                             ReadInteger(capacity.at(2), "accelerators")};
   facts.labels = row.at("labels").get<std::vector<std::string>>();
   facts.rack = row.at("rack");
   facts.draining = row.value("draining", false);
   if (row.contains("remaining_ms")) {
-    facts.remaining = Duration(row["remaining_ms"].get<std::int64_t>());
+    facts.remaining = Duration(ReadSigned(row["remaining_ms"], "remaining_ms"));
   }
   return facts;
 }
@@ -66,7 +97,7 @@
 
 RunningTask DecodeRunning(const json& row) {
   return RunningTask{DecodeRun(row), CheckpointId(row.at(2).get<std::string>()),
-                     row.at(3), row.at(4)};
+                     ReadPercent(row.at(3)), ReadSigned(row.at(4), "measure")};
 }
 
 json EncodeEnded(const EndedTask& ended) {
@@ -78,8 +109,8 @@
 }
 
 EndedTask DecodeEnded(const json& row) {
-  return EndedTask{row.at(2).get<std::uint64_t>(), DecodeRun(row),
-                   static_cast<EndKind>(row.at(3).get<int>()),
+  return EndedTask{ReadNumber(row.at(2), "end number"), DecodeRun(row),
+                   ReadEnum(row.at(3), "end kind", EndKind::kGangIncomplete),
                    CheckpointId(row.at(4).get<std::string>())};
 }
 
@@ -125,54 +156,53 @@
 
 HostOrders DecodeOrdersRow(const json& row) {
   HostOrders orders;
-  orders.epoch = Epoch(row.at("epoch").get<std::uint64_t>());
+  orders.epoch = Epoch(ReadNumber(row.at("epoch"), "epoch"));
   orders.owner = EntryId(row.at("owner").get<std::string>());
-  orders.incarnation =
-      WorkerIncarnation(row.at("incarnation").get<std::int64_t>());
-  orders.granted_stamp = Instant{row.at("granted_stamp")};
-  orders.recorded_ends = row.at("recorded_ends");
+  orders.incarnation = ReadIncarnation(row.at("incarnation"));
+  orders.granted_stamp =
+      Instant{ReadSigned(row.at("granted_stamp"), "granted_stamp")};
+  orders.recorded_ends = ReadNumber(row.at("recorded_ends"), "recorded_ends");
   orders.starts = DecodeRows<StartOrder>(row.at("starts"), DecodeStart);
   orders.stops = DecodeRows<TaskRun>(row.at("stops"), DecodeRun);
   orders.paces = DecodeRows<PaceOrder>(row.at("paces"), [](const json& pace) {
-    return PaceOrder{DecodeRun(pace), pace.at(2)};
+    return PaceOrder{DecodeRun(pace), ReadPercent(pace.at(2))};
   });
-  orders.wait = Duration(row.at("wait_ms").get<std::int64_t>());
+  orders.wait = Duration(ReadNumber(row.at("wait_ms"), "wait_ms"));
   return orders;
 }
 
 HostReport DecodeReportRow(const json& row) {
   HostReport report;
-  report.agent = Incarnation(row.at("agent").get<std::uint64_t>());
-  report.sequence = row.at("sequence");
-  report.stamp = Instant{row.at("stamp")};
-  report.epoch = Epoch(row.at("epoch").get<std::uint64_t>());
+  report.agent = Incarnation(ReadNumber(row.at("agent"), "agent"));
+  report.sequence = ReadNumber(row.at("sequence"), "sequence");
+  report.stamp = Instant{ReadSigned(row.at("stamp"), "stamp")};
+  report.epoch = Epoch(ReadNumber(row.at("epoch"), "epoch"));
   if (row.contains("incarnation")) {
-    report.incarnation =
-        WorkerIncarnation(row["incarnation"].get<std::int64_t>());
+    report.incarnation = ReadIncarnation(row["incarnation"]);
   }
   if (row.contains("facts")) {
     report.facts = DecodeFacts(row["facts"]);
   }
   report.listed = row.at("listed");
-  report.list_number = row.at("list");
+  report.list_number = ReadNumber(row.at("list"), "list");
   report.worker_reachable = row.at("reachable");
   report.lease_expired = row.at("lapsed");
   report.running = DecodeRows<RunningTask>(row.at("running"), DecodeRunning);
   report.ended = DecodeRows<EndedTask>(row.at("ended"), DecodeEnded);
   report.results =
       DecodeRows<OrderResult>(row.at("results"), [](const json& result) {
-        return OrderResult{DecodeRun(result),
-                           static_cast<OrderOutcome>(result.at(2).get<int>())};
+        return OrderResult{DecodeRun(result), ReadEnum(result.at(2), "outcome",
+                                                       OrderOutcome::kStopped)};
       });
   if (row.contains("unproven")) {
     report.unproven = DecodeRows<TaskRun>(row["unproven"], DecodeRun);
   }
   if (row.contains("crash")) {
     const json& crash = row["crash"];
-    report.crash = WorkerCrash{
-        WorkerIncarnation(crash.at("incarnation").get<std::int64_t>()),
-        DecodeRows<TaskRun>(crash.at("suspects"), DecodeRun),
-        DecodeRows<TaskRun>(crash.at("unconfirmed"), DecodeRun)};
+    report.crash =
+        WorkerCrash{ReadIncarnation(crash.at("incarnation")),
+                    DecodeRows<TaskRun>(crash.at("suspects"), DecodeRun),
+                    DecodeRows<TaskRun>(crash.at("unconfirmed"), DecodeRun)};
   }
   return report;
 }
@@ -182,7 +212,7 @@
                        const char* kind,
                        Decoder decode) {
   try {
-    return decode(json::parse(bytes));
+    return decode(ParseJson(bytes));
   } catch (const std::exception& error) {
     return Fail(ErrorCode::kInvalidArgument, error.what(), kind);
   }
@@ -191,21 +221,20 @@
 }  // namespace
 
 std::string Encode(const HostOrders& orders) {
-  return json{{"epoch", orders.epoch.value()},
-              {"owner", orders.owner.value()},
-              {"incarnation", orders.incarnation.value()},
-              {"granted_stamp", orders.granted_stamp.milliseconds},
-              {"recorded_ends", orders.recorded_ends},
-              {"starts", EncodeRows(orders.starts, EncodeStart)},
-              {"stops", EncodeRows(orders.stops, EncodeRun)},
-              {"paces", EncodeRows(orders.paces,
-                                   [](const PaceOrder& pace) {
-                                     json encoded = EncodeRun(pace.id);
-                                     encoded.push_back(pace.percent);
-                                     return encoded;
-                                   })},
-              {"wait_ms", orders.wait.count()}}
-      .dump();
+  return DumpJson(json{{"epoch", orders.epoch.value()},
+                       {"owner", orders.owner.value()},
+                       {"incarnation", orders.incarnation.value()},
+                       {"granted_stamp", orders.granted_stamp.milliseconds},
+                       {"recorded_ends", orders.recorded_ends},
+                       {"starts", EncodeRows(orders.starts, EncodeStart)},
+                       {"stops", EncodeRows(orders.stops, EncodeRun)},
+                       {"paces", EncodeRows(orders.paces,
+                                            [](const PaceOrder& pace) {
+                                              json encoded = EncodeRun(pace.id);
+                                              encoded.push_back(pace.percent);
+                                              return encoded;
+                                            })},
+                       {"wait_ms", orders.wait.count()}});
 }
 
 std::string Encode(const HostReport& report) {
@@ -240,7 +269,7 @@
         {"suspects", EncodeRows(report.crash->suspects, EncodeRun)},
         {"unconfirmed", EncodeRows(report.crash->unconfirmed, EncodeRun)}};
   }
-  return row.dump();
+  return DumpJson(row);
 }
 
 Result<HostOrders> DecodeHostOrders(const std::string& bytes) {
