Claim the ownership over odd owner and epoch records

What callers saw: with 2^64 - 2 written to zinniacart/entries/epoch by another writer, no job runs any more after the next change of the owner (LOST).

Cause: the value was taken as the last epoch. The following claims are 2^64 - 1 and then 0, which every agent refuses. A number beyond 64 bits, a negative one or text read as 0, so that the next claims begin below the agents' epoch. An owner record that cannot be parsed left the revision of its key unknown, so that every claim failed on its condition; one with an epoch or port out of range named an owner whom nobody can reach. Class of fault: an item that cannot be read is treated as if its key did not exist.

Fix: an epoch above 2^52 is no epoch; the last valid one holds. Ownership never claims an epoch below one that it has seen, in either record. A record that names no owner keeps its revision, and the next claim replaces it. Addresses of entries and owners are validated where they are read.

--- a/packages/scheduling/ownership.cc
+++ b/packages/scheduling/ownership.cc
@@ -1,5 +1,6 @@
 #include "scheduling/ownership.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace zinniacart {
@@ -53,7 +54,11 @@
 }
 
 void Ownership::OnView(const OwnershipView& view) {
+  m_newest_epoch = std::max({m_newest_epoch, view.last_epoch,
+                             view.owner ? view.owner->epoch : Epoch(),
+                             m_epoch.value_or(Epoch())});
   m_view = view;
+  m_view.last_epoch = m_newest_epoch;
   m_view_known = true;
 }
 
@@ -70,6 +75,7 @@
 void Ownership::OnClaimed(Epoch epoch, std::uint64_t epoch_revision) {
   m_step_in_progress = false;
   m_epoch = epoch;
+  m_newest_epoch = std::max(m_newest_epoch, epoch);
   m_epoch_revision = epoch_revision;
   m_confirmed_at = m_step_started_at;
 }
--- a/packages/scheduling/ownership.h
+++ b/packages/scheduling/ownership.h
@@ -107,6 +107,9 @@
   Duration m_standby_delay;
   const Clock& m_clock;
   OwnershipView m_view;
+  /// The highest that was seen, because agents obey no lower one. The stored
+  /// epoch may be lost or replaced by another writer.
+  Epoch m_newest_epoch;
   bool m_view_known = false;
   bool m_retired = false;
   bool m_step_in_progress = false;
--- a/packages/scheduling/tests/ownership_test.cc
+++ b/packages/scheduling/tests/ownership_test.cc
@@ -103,3 +103,33 @@
   clock.Advance(times.retry);
   CHECK(NextIs<ReadViewStep>());
 }
+
+// Agents obey no lower epoch, whatever another writer left in the store.
+TEST(Ownership, ClaimsNoEpochBelowOneThatWasSeen) {
+  BecomeOwner();
+  ownership.OnLost();
+  CHECK(NextIs<ReadViewStep>());
+  ownership.OnViewRead(OwnershipView{{}, 0, Epoch(), 30});
+  CHECK(NextIs<WaitStep>());
+  clock.Advance(Duration(100));
+  CHECK(NextIs<OpenLeaseStep>());
+  ownership.OnLeaseOpened(LeaseId("10"));
+  const auto step = ownership.Next();
+  const auto* claim = std::get_if<ClaimStep>(&step);
+  CHECK(claim != nullptr);
+  LONGS_EQUAL(5, claim->view.last_epoch.value());
+  LONGS_EQUAL(30, claim->view.epoch_revision);
+}
+
+TEST(Ownership, ClaimsNoEpochBelowThatOfTheOwnerRecord) {
+  CHECK(NextIs<ReadViewStep>());
+  ownership.OnViewRead(
+      OwnershipView{OwnerRecord{EntryId("b"), "", Epoch(9)}, 3, Epoch(), 3});
+  ownership.OnView(OwnershipView{{}, 0, Epoch(), 3});
+  CHECK(NextIs<WaitStep>());
+  clock.Advance(Duration(100));
+  CHECK(NextIs<OpenLeaseStep>());
+  ownership.OnLeaseOpened(LeaseId("9"));
+  const auto step = ownership.Next();
+  LONGS_EQUAL(9, std::get<ClaimStep>(step).view.last_epoch.value());
+}
--- a/packages/site/entry_directory.cc
+++ b/packages/site/entry_directory.cc
@@ -2,11 +2,45 @@
 
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
+#include "base/json_text.h"
 #include "base/logging.h"
+#include "net/http_types.h"
 #include "site/store_keys.h"
 
 namespace zinniacart {
+namespace {
+
+/// No sequence of claims reaches it. The epochs after it still fit into
+/// messages.
+constexpr std::uint64_t kMaxEpoch = std::uint64_t{1} << 52;
+constexpr double kMaxCores = 1e6;
+
+/// @returns the field "address".
+/// @throws std::exception if it is not ip:port.
+std::string ReadAddress(const nlohmann::json& row) {
+  auto address = row.at("address").get<std::string>();
+  const auto parsed = net::Address::Parse(address, "address");
+  if (!parsed) {
+    throw std::invalid_argument(parsed.error().detail);
+  }
+  return address;
+}
+
+/// @returns the epoch in a stored text, nothing if it is not a number up to
+/// `kMaxEpoch`.
+std::optional<Epoch> ParseEpoch(const std::string& text) {
+  std::uint64_t epoch = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, epoch);
+  if (parsed.ec != std::errc() || parsed.ptr != end || epoch > kMaxEpoch) {
+    return std::nullopt;
+  }
+  return Epoch(epoch);
+}
+
+}  // namespace
 
 std::string EncodeEntryRecord(const EntryRecord& record) {
   return nlohmann::json{{"address", record.address}, {"cores", record.cores}}
@@ -15,9 +49,14 @@
 
 Result<EntryRecord> DecodeEntryRecord(const std::string& bytes) {
   try {
-    const auto row = nlohmann::json::parse(bytes);
-    return EntryRecord{row.at("address"), row.at("cores")};
-  } catch (const nlohmann::json::exception& error) {
+    const auto row = ParseJson(bytes);
+    const double cores = row.at("cores").get<double>();
+    if (cores < 0 || cores > kMaxCores) {
+      return Fail(ErrorCode::kInvalidArgument,
+                  "cores is " + std::to_string(cores), "entry record");
+    }
+    return EntryRecord{ReadAddress(row), cores};
+  } catch (const std::exception& error) {
     return Fail(ErrorCode::kInvalidArgument, error.what(), "entry record");
   }
 }
@@ -31,11 +70,12 @@
 
 Result<OwnerRecord> DecodeOwnerRecord(const std::string& bytes) {
   try {
-    const auto row = nlohmann::json::parse(bytes);
-    return OwnerRecord{EntryId(row.at("entry").get<std::string>()),
-                       row.at("address"),
-                       Epoch(row.at("epoch").get<std::uint64_t>())};
-  } catch (const nlohmann::json::exception& error) {
+    const auto row = ParseJson(bytes);
+    return OwnerRecord{
+        EntryId(row.at("entry").get<std::string>()), ReadAddress(row),
+        Epoch(static_cast<std::uint64_t>(ReadIntegerField(
+            row, "epoch", 0, static_cast<std::int64_t>(kMaxEpoch))))};
+  } catch (const std::exception& error) {
     return Fail(ErrorCode::kInvalidArgument, error.what(), "owner record");
   }
 }
@@ -66,19 +106,18 @@
     const auto record = DecodeOwnerRecord(item.value);
     if (!record) {
       LogError("owner record ignored: it cannot be parsed",
-               {{"detail", record.error().detail}});
-      return;
+               {{"key", item.key}, {"detail", record.error().detail}});
     }
-    m_ownership.owner = *record;
+    // A claim replaces a record that names no owner.
+    m_ownership.owner = record ? std::optional(*record) : std::nullopt;
     m_ownership.owner_revision = item.revision;
   } else if (item.key == store_keys::kEpoch) {
-    std::uint64_t epoch = 0;
-    const char* const end = item.value.data() + item.value.size();
-    if (std::from_chars(item.value.data(), end, epoch).ptr != end) {
-      LogError("stored epoch is not a number; its leading digits are used",
-               {{"value", item.value}});
+    const auto epoch = ParseEpoch(item.value);
+    if (!epoch) {
+      LogError("stored epoch ignored: it is not a valid number",
+               {{"key", item.key}, {"value", item.value.substr(0, 40)}});
     }
-    m_ownership.last_epoch = Epoch(epoch);
+    m_ownership.last_epoch = epoch.value_or(m_ownership.last_epoch);
     m_ownership.epoch_revision = item.revision;
   } else if (item.key.starts_with(store_keys::kEntryPrefix)) {
     const EntryId entry(item.key.substr(store_keys::kEntryPrefix.size()));
--- a/packages/site/entry_directory.h
+++ b/packages/site/entry_directory.h
@@ -13,8 +13,8 @@
 namespace zinniacart {
 
 /// The registered entries and the owner of the scheduling, as recorded in the
-/// store. Fed by a `PrefixFollower` on `store_keys::kEntriesPrefix`. An entry's
-/// or owner's record that cannot be parsed is logged and ignored.
+/// store. Fed by a `PrefixFollower` on `store_keys::kEntriesPrefix`. A value
+/// that cannot be parsed is logged: it names no entry, no owner and no epoch.
 class EntryDirectory final {
  public:
   /// Replaces everything known by the contents of `snapshot`.
@@ -40,13 +40,15 @@
 /// @returns the JSON text that is stored for an entry.
 std::string EncodeEntryRecord(const EntryRecord& record);
 
-/// @returns the record, `kInvalidArgument` if `bytes` is not an entry record.
+/// @returns the record, `kInvalidArgument` if `bytes` is not an entry record,
+/// or its address or number of cores is out of range.
 Result<EntryRecord> DecodeEntryRecord(const std::string& bytes);
 
 /// @returns the JSON text that is stored for the owner.
 std::string EncodeOwnerRecord(const OwnerRecord& record);
 
-/// @returns the record, `kInvalidArgument` if `bytes` is not an owner record.
+/// @returns the record, `kInvalidArgument` if `bytes` is not an owner record,
+/// or its address or epoch is out of range.
 Result<OwnerRecord> DecodeOwnerRecord(const std::string& bytes);
 
 }  // namespace zinniacart
