Restore no part of a progress record that is out of range

Cause: RestoreProgress changed the job row by row, so that a record with an odd row left some tasks as done or placed on hosts where the scheduler knows of no run, and a task that is recorded twice counted twice: its step was complete too early. Numbers were converted without a range check; a run of 2^64 - 1 is followed by 0, which a worker refuses for ever.

Fix: the record is decoded as a whole, with checked ranges and bounded nesting, before the job changes. No caller saw this.

--- a/packages/scheduling/job.cc
+++ b/packages/scheduling/job.cc
@@ -1,8 +1,11 @@
 #include "scheduling/job.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace zinniacart {
 namespace {
 
@@ -13,6 +16,8 @@
 constexpr char kPlacedMark = 'r';
 constexpr char kPendingMark = 'p';
 
+constexpr std::int64_t kMaxFailures = std::numeric_limits<std::int32_t>::max();
+
 bool IsInitial(const Task& task) {
   return task.phase == TaskPhase::kPending && task.run == RunNumber() &&
          task.failures == 0;
@@ -29,15 +34,25 @@
   return rows;
 }
 
+RunNumber ReadRun(const json& value) {
+  return RunNumber(static_cast<std::uint64_t>(ReadInteger(value, "run")));
+}
+
+WorkerIncarnation ReadIncarnation(const json& value) {
+  return WorkerIncarnation(ReadInteger(value, "incarnation", -kMaxJsonInteger));
+}
+
 void DecodeCrashes(const json& rows, Task& task) {
-  task.proven_run = RunNumber(rows.at(0).get<std::uint64_t>());
+  constexpr auto kLastEvidence =
+      static_cast<std::int64_t>(CrashEvidence::kSole);
+  task.proven_run = ReadRun(rows.at(0));
   for (std::size_t number = 1; number < rows.size(); ++number) {
     const json& row = rows.at(number);
     task.crashes.push_back(
         SuspectedCrash{HostId(row.at(0).get<std::string>()),
-                       WorkerIncarnation(row.at(1).get<std::int64_t>()),
-                       RunNumber(row.at(2).get<std::uint64_t>()),
-                       static_cast<CrashEvidence>(row.at(3).get<int>())});
+                       ReadIncarnation(row.at(1)), ReadRun(row.at(2)),
+                       static_cast<CrashEvidence>(ReadInteger(
+                           row.at(3), "evidence", 0, kLastEvidence))});
   }
 }
 
@@ -74,14 +89,14 @@
     task.phase = TaskPhase::kDone;
     return task;
   }
-  task.run = RunNumber(row.at(3).get<std::uint64_t>());
-  task.failures = row.at(4);
+  task.run = ReadRun(row.at(3));
+  task.failures = static_cast<std::uint32_t>(
+      ReadInteger(row.at(4), "failures", 0, kMaxFailures));
   task.checkpoint = CheckpointId(row.at(5).get<std::string>());
   if (mark == kPlacedMark) {
     task.phase = TaskPhase::kPlaced;
-    task.placement =
-        Placement{HostId(row.at(6).get<std::string>()),
-                  WorkerIncarnation(row.at(7).get<std::int64_t>())};
+    task.placement = Placement{HostId(row.at(6).get<std::string>()),
+                               ReadIncarnation(row.at(7))};
   }
   if (row.back().is_array()) {
     DecodeCrashes(row.back(), task);
@@ -318,25 +333,37 @@
       }
     }
   }
-  return json{{"state", ToString(m_state)}, {"tasks", std::move(tasks)}}.dump();
+  return DumpJson(
+      json{{"state", ToString(m_state)}, {"tasks", std::move(tasks)}});
 }
 
 Result<void> Job::RestoreProgress(const std::string& bytes,
                                   std::uint64_t revision) {
   try {
-    const json row = json::parse(bytes);
+    const json row = ParseJson(bytes);
     const auto state = ParseJobState(row.at("state"));
     if (!state) {
       return Fail(ErrorCode::kInvalidArgument,
                   "state " + row.at("state").dump(), "job " + id().value());
     }
+    // All of it is decoded before anything of the job changes.
+    std::vector<std::pair<Task*, Task>> tasks;
     for (const json& encoded : row.at("tasks")) {
-      StepTasks& step = m_steps.at(encoded.at(0).get<std::size_t>());
-      Task& task = step.tasks.at(encoded.at(1).get<std::size_t>());
-      task = DecodeTask(encoded);
-      step.done += task.phase == TaskPhase::kDone ? 1U : 0U;
+      StepTasks& step = m_steps.at(
+          static_cast<std::size_t>(ReadInteger(encoded.at(0), "step")));
+      Task& task = step.tasks.at(
+          static_cast<std::size_t>(ReadInteger(encoded.at(1), "task")));
+      tasks.emplace_back(&task, DecodeTask(encoded));
+    }
+    for (auto& [task, decoded] : tasks) {
+      *task = std::move(decoded);
       m_begun = true;
     }
+    for (StepTasks& step : m_steps) {
+      step.done = static_cast<std::uint32_t>(std::count_if(
+          step.tasks.begin(), step.tasks.end(),
+          [](const Task& task) { return task.phase == TaskPhase::kDone; }));
+    }
     m_open_steps = static_cast<std::size_t>(
         std::count_if(m_steps.begin(), m_steps.end(),
                       [](const StepTasks& step) { return !step.complete(); }));
--- a/packages/site/job_intake.cc
+++ b/packages/site/job_intake.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/json_text.h"
 #include "base/logging.h"
 #include "site/peer_paths.h"
 #include "site/store_keys.h"
@@ -42,13 +43,11 @@
 /// @returns the state in a stored progress record, `kInvalidArgument` if it has
 /// none or an unknown one.
 Result<JobState> StateOfProgress(const std::string& bytes) {
-  const auto row = nlohmann::json::parse(bytes, nullptr, false);
-  const auto name = row.is_object() ? row.find("state") : row.end();
-  if (name == row.end() || !name->is_string()) {
-    return Fail(ErrorCode::kInvalidArgument, "the progress has no state",
-                "state");
+  try {
+    return ParseJobState(ParseJson(bytes).at("state").get<std::string>());
+  } catch (const std::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument, error.what(), "state");
   }
-  return ParseJobState(name->get<std::string>());
 }
 
 /// Logs a job state that cannot be parsed; it is not returned to the caller.
