Check the range of numbers in the record of learned interference

A version or time of 1e300 was converted to an integer, which is undefined behaviour, and a version of 1.9 counted as 1. The record is read with ParseJson and ReadInteger like the others. No caller saw this.

Evidence, before the fix: RecordOfAnotherWriterChangesNothing failed.

--- a/packages/scheduling/interference_record.cc
+++ b/packages/scheduling/interference_record.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace zinniacart {
 namespace {
 
@@ -24,10 +26,9 @@
                      pair.interference.loss_per_core,
                      pair.interference.deviation});
   }
-  return nlohmann::json{{"version", kVersion},
-                        {"written_at_ms", wall_ms},
-                        {"pairs", std::move(pairs)}}
-      .dump();
+  return DumpJson(nlohmann::json{{"version", kVersion},
+                                 {"written_at_ms", wall_ms},
+                                 {"pairs", std::move(pairs)}});
 }
 
 Result<void> RestoreInterference(const std::string& bytes,
@@ -37,14 +38,14 @@
   std::vector<LearnedPair> pairs;
   Duration age{0};
   try {
-    const nlohmann::json record = nlohmann::json::parse(bytes);
-    const int version = record.at("version").get<int>();
+    const nlohmann::json record = ParseJson(bytes);
+    const auto version = ReadIntegerField(record, "version");
     if (version != kVersion) {
       return Fail(ErrorCode::kInvalidArgument,
                   "interference record of version " + std::to_string(version) +
                       " cannot be read");
     }
-    const auto written_at_ms = record.at("written_at_ms").get<std::int64_t>();
+    const auto written_at_ms = ReadIntegerField(record, "written_at_ms");
     age =
         Duration(wall_ms - std::clamp<std::int64_t>(written_at_ms, 0, wall_ms));
     for (const nlohmann::json& row : record.at("pairs")) {
@@ -53,7 +54,7 @@
           InterferenceEstimate{row.at(2).get<double>(),
                                row.at(3).get<double>()}});
     }
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const std::exception& error) {
     return Fail(
         ErrorCode::kInvalidArgument,
         std::string("interference record is malformed: ") + error.what());
--- a/packages/scheduling/tests/interference_record_test.cc
+++ b/packages/scheduling/tests/interference_record_test.cc
@@ -101,3 +101,24 @@
   DOUBLES_EQUAL(settings.max_deviation,
                 successor.Estimate("serving", "a", kNow).deviation, 1e-9);
 }
+
+TEST(InterferenceRecord, RecordOfAnotherWriterChangesNothing) {
+  const std::string nested =
+      std::string(100000, '[') + std::string(100000, ']');
+  for (const std::string& bytes :
+       {std::string(), std::string("\xff"), nested,
+        std::string(R"({"version":1e300,"written_at_ms":1,"pairs":[]})"),
+        std::string(R"({"version":1,"written_at_ms":1e300,"pairs":[]})"),
+        std::string(R"({"version":1,"written_at_ms":-1,"pairs":[]})"),
+        std::string(R"({"version":1,"written_at_ms":18446744073709551616,)"
+                    R"("pairs":[]})"),
+        std::string(R"({"version":1,"written_at_ms":1,)"
+                    R"("pairs":[["serving","harmful",1e999,1]]})"),
+        R"({"version":1,"written_at_ms":1,"pairs":[["serving",)" + nested +
+            ",1,1]]}"}) {
+    const auto restored = RestoreInterference(bytes, successor, kNow, kWallMs);
+    CHECK_FALSE(restored.has_value());
+    CHECK(restored.error().code == ErrorCode::kInvalidArgument);
+    CHECK(successor.empty());
+  }
+}
