Ignore a host whose stored address is invalid

Cause: the owner took any value under zinniacart/work/hosts/ as an address: an odd one made a link that retries for ever, and replaced the working link of a host that had one. The address is now validated where it is read, and the earlier link is kept.

--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -337,6 +337,12 @@
 }
 
 void Owner::AddLink(const HostId& host, const std::string& address) {
+  const auto valid = net::Address::Parse(address, "address");
+  if (!valid) {
+    return LogError(
+        "host ignored: its address is invalid",
+        {{"key", store_keys::Host(host)}, {"detail", valid.error().detail}});
+  }
   auto& link = m_links[host];
   if (link && link->address() == address) {
     return;
