--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -1,13 +1,14 @@
 """Promises on the users' platform, through the real daemons and stand-ins."""
 
 import signal
+import socket
 import sys
 import time
 import unittest
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tools"))
-from platform_site import QUEUE, PlatformSite, wait_for  # noqa: E402
+from platform_site import HOST_HEADER, QUEUE, PlatformSite, wait_for  # noqa: E402
 
 STEPS = [{"count": 3, "cpu": 500, "mem_mb": 100, "estimate_ms": 200},
          {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 200, "after": [0]}]
@@ -71,6 +72,19 @@
             self.assertEqual(400, site.call("POST", QUEUE + "not-an-id", {})[0])
             self.completes(site, site.submit(STEPS))
 
+    def test_a_request_that_is_not_utf8_is_refused_and_ends_no_entry(self):
+        with PlatformSite(entries=1) as site:
+            port = site.entries[0].ports[1]
+            host = f"Host: {HOST_HEADER}\r\n".encode()
+            for request in [b"GET " + QUEUE.encode() + b"\xff HTTP/1.1\r\n" + host + b"\r\n",
+                            b"POST " + QUEUE.encode() + b"a" * 16 + b" HTTP/1.1\r\n" + host
+                            + b"Content-Length: 12\r\n\r\n" + b'{"spec":"\xff"}']:
+                with socket.create_connection(("127.0.0.1", port), 5) as connection:
+                    connection.sendall(request)
+                    self.assertIn(b" 400 ", connection.recv(200))
+            self.completes(site, site.submit(STEPS))
+            self.assertIsNone(site.entries[0].child.poll())
+
     def test_a_cancelled_job_stops_and_stays_cancelled(self):
         with PlatformSite() as site:
             job = site.submit(STEPS, seconds=60)
