Test that odd items and check-ins cost only themselves, with real daemons

Five rounds put an odd value under each key that another writer could leave, end the owner, and check that the next one runs jobs and serves a changed configuration while no process ends; the same for check-ins at an agent and for the answers of a worker.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -38,6 +38,12 @@
         with self.changed:
             self._apply([{"key": key, "value": _encode(json.dumps(value))}], [])
 
+    def put_raw(self, key, value):
+        """As an odd writer: any text as the value; None: one that is not base64."""
+        encoded = "not base64!" if value is None else _encode(value)
+        with self.changed:
+            self._apply([{"key": key, "value": encoded}], [])
+
     def remove(self, key):
         with self.changed:
             self._apply([], [key])
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -1,5 +1,6 @@
 """Promises on the users' platform, through the real daemons and stand-ins."""
 
+import json
 import signal
 import socket
 import sys
@@ -85,6 +86,96 @@
             self.completes(site, site.submit(STEPS))
             self.assertIsNone(site.entries[0].child.poll())
 
+    def test_odd_items_of_another_writer_cost_only_themselves(self):
+        deep = "[" * 100000 + "]" * 100000
+        odd = {
+            "zinniacart/work/hosts/odd": ["127.0.0.1:99999", "", "x", deep, None],
+            "zinniacart/work/jobs/" + "a" * 16: [
+                deep, "", '{"steps":' + deep + "}", None],
+            "zinniacart/work/jobs/": ["{}", None],
+            "zinniacart/work/cancelled/odd": [None],
+            "zinniacart/progress/" + "a" * 16: [deep, '{"state":7}', None],
+            "zinniacart/entries/at/odd": [
+                '{"address":"127.0.0.1:99999","cores":1e300}', deep, None],
+            "zinniacart/entries/epoch": [
+                "18446744073709551614", "18446744073709551616", "-1", deep, None],
+            "zinniacart/entries/owner": [
+                '{"entry":"odd","address":"127.0.0.1:99999","epoch":1}', deep, "", None],
+            "zinniacart/learned/interference": ['{"version":1e300}', deep, None],
+            "op/evacuate/odd": [deep, None],
+            "op/config": [deep, None]}
+        with PlatformSite() as site:
+            for round_number in range(max(len(values) for values in odd.values())):
+                owner = site.owner()
+                for key, values in odd.items():
+                    site.store.put_raw(key, values[round_number % len(values)])
+                owner.kill()
+                other = 1 - site.entries.index(owner)
+                self.completes(site, site.submit(STEPS, entry=other), other)
+                queue = f"/more-{round_number}/"
+                site.configure(round_number + 2, (QUEUE, queue))
+                wait_for("the new queue is served", lambda: site.call(
+                    "GET", queue, entry=other)[0] == 200)
+                owner.start()
+                wait_for("the entry is ready", lambda: site.ready(1 - other))
+                for node in site.entries + site.agents:
+                    self.assertIsNone(node.child.poll(), node.name)
+
+    def test_an_odd_check_in_costs_only_itself(self):
+        deep = "[" * 100000 + "]" * 100000
+        with PlatformSite(hosts=1) as site:
+            worker, agent = site.workers[0], site.agents[0]
+            wait_for("the worker checks in", lambda: worker.sequence > 1)
+            sound = {"service": worker.service, "zone": worker.zone, "state": "ready",
+                     "seq_no": worker.sequence + 1, "born": worker.born,
+                     "capacity": worker.capacity, "labels": ["a", "r1"]}
+            path = "/v1/Instances.Heartbeat/i-w0"
+            for target, body in [
+                    (path, deep), (path, ""), (path, b"\xff"), (path, "[]"),
+                    (path + "\xff", json.dumps(sound)),
+                    (path, json.dumps(dict(sound, labels="odd")).replace('"odd"', deep)),
+                    (path, json.dumps(dict(sound, seq_no=-1))),
+                    (path, json.dumps(dict(sound, seq_no=2 ** 64))),
+                    (path, json.dumps(dict(sound, seq_no=1e300))),
+                    (path, json.dumps(dict(sound, state="resting"))),
+                    (path, json.dumps(dict(sound, capacity={"cpu": -1, "mem_mb": 1})))]:
+                data = body if isinstance(body, bytes) else body.encode()
+                head = (f"POST {target} HTTP/1.1\r\nHost: x\r\n"
+                        f"Content-Length: {len(data)}\r\n\r\n")
+                with socket.create_connection(("127.0.0.1", agent.ports[3]), 5) as connection:
+                    connection.sendall(head.encode("latin-1") + data)
+                    self.assertIn(b" 400 ", connection.recv(200), target + str(body)[:200])
+            self.completes(site, site.submit(STEPS))
+            worker.draining = True
+            time.sleep(1.0)
+            before = len(worker.log)
+            site.submit(STEPS)
+            time.sleep(1.0)
+            self.assertEqual(before, len(worker.log))
+            self.assertIsNone(agent.child.poll())
+
+    def test_odd_rows_and_answers_of_a_worker_cost_only_themselves(self):
+        with PlatformSite(entries=1, hosts=1) as site:
+            worker = site.workers[0]
+            start, hold = worker.start, worker.hold
+
+            def odd_hold(body):
+                status, answer = hold(body)
+                if status == 200:
+                    answer["running"] = [["somebody's", 1, "", 0, 0]] + [
+                        [task, run, None, 1e300, None]
+                        for task, run, *_ in answer["running"]]
+                    answer["ended"] = [[0, "somebody's", 1, "resting", ""]] + answer["ended"]
+                return status, answer
+
+            worker.hold = odd_hold
+            worker.start = lambda body: (409, {"reason": 5})
+            job = site.submit(STEPS)
+            time.sleep(1.0)
+            worker.start = start
+            self.completes(site, job)
+            self.assertIsNone(site.agents[0].child.poll())
+
     def test_a_cancelled_job_stops_and_stays_cancelled(self):
         with PlatformSite() as site:
             job = site.submit(STEPS, seconds=60)
