List again when the changes since a watch exceed a response

Callers: an entry that missed some large manifests, e.g. while the store was cut off, answered by the old one for as long as the store kept the history (`history_s`, 20 s; then the watch fails and the entry lists). An added queue got 404 all the while, a dropped one was served. The same held for every other follower whose changes since its last watch exceed 8 MiB, such as an owner's view of the jobs.

Cause: a watch returns every version that was written meanwhile. The client reads at most 8 MiB of a response, reported more as a call of unknown outcome, and the follower repeated the same watch.

Listings come in pages of about 1 MB and hold no old versions.

--- a/packages/base/error.cc
+++ b/packages/base/error.cc
@@ -18,6 +18,8 @@
       return "store-unavailable";
     case ErrorCode::kOutcomeUnknown:
       return "outcome-unknown";
+    case ErrorCode::kTooLarge:
+      return "too-large";
     case ErrorCode::kUnreachable:
       return "unreachable";
     case ErrorCode::kDeadlineExceeded:
--- a/packages/base/error.h
+++ b/packages/base/error.h
@@ -13,6 +13,7 @@
   kPreconditionFailed,  ///< A version or epoch did not match.
   kStoreUnavailable,    ///< The platform's store did not accept the call.
   kOutcomeUnknown,      ///< The call may or may not have taken effect.
+  kTooLarge,            ///< The response exceeds the limit on its size.
   kUnreachable,         ///< No connection to the peer; nothing was sent.
   kDeadlineExceeded,    ///< The deadline expired before anything ran.
   kOverloaded,          ///< Rejected early because a limit was reached.
--- a/packages/net/client_connection.cc
+++ b/packages/net/client_connection.cc
@@ -93,6 +93,9 @@
   http::async_read_some(
       m_stream, m_buffer, *m_parser,
       [this, self = shared_from_this()](error_code error, std::size_t) {
+        if (error == http::error::body_limit) {
+          return FailWith(ErrorCode::kTooLarge, error);
+        }
         if (error) {
           return FailWith(ErrorCode::kOutcomeUnknown, error);
         }
--- a/packages/net/client_connection.h
+++ b/packages/net/client_connection.h
@@ -25,7 +25,8 @@
   /// Sends `request`, connecting first if the connection is not open.
   /// @param timeout  in milliseconds; `patience` selects what it bounds.
   /// @param done     receives the response, or `kUnreachable` if connecting
-  ///                 failed, or `kOutcomeUnknown` if a later step failed.
+  ///                 failed, `kTooLarge` if the response exceeds the limit,
+  ///                 or `kOutcomeUnknown` if another step failed.
   void Start(Request request,
              Duration timeout,
              Patience patience,
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -24,8 +24,9 @@
   /// Sends `request` and reports its outcome exactly once.
   /// @param timeout  in milliseconds; bounds connecting, sending and waiting
   ///                 for the response, as `patience` selects.
-  /// @param done     receives the response, `kUnreachable` or
-  ///                 `kOutcomeUnknown` (see `ResponseCallback`).
+  /// @param done     receives the response, `kUnreachable`, `kOutcomeUnknown`
+  /// or
+  ///                 `kTooLarge` (see `ResponseCallback`).
   /// @param patience `kEachPause` for large responses: over a slow link they
   ///                 may take longer than the time within which a lost
   ///                 connection has to be detected.
--- a/packages/net/http_types.h
+++ b/packages/net/http_types.h
@@ -61,7 +61,8 @@
 
 /// Receives the outcome of a call. `kUnreachable`: no connection was made and
 /// nothing was sent. `kOutcomeUnknown`: the server may have executed the
-/// request.
+/// request. `kTooLarge`: it has executed it, but the response is larger than
+/// the client accepts.
 using ResponseCallback = std::function<void(Result<Response>)>;
 
 /// Sends the response of one request; call it exactly once.
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -181,6 +181,17 @@
             wait_for("the new queue is known",
                      lambda: site.call("GET", "/more/")[0] == 200)
 
+    def test_a_backlog_of_large_configurations_does_not_stop_the_watch(self):
+        with PlatformSite(entries=1, hosts=0) as site:
+            routes = tuple(f"/queue-{number}/" for number in range(4000))
+            site.store.mode = "silent"
+            for version in range(2, 13):
+                site.configure(version, (QUEUE, *routes))
+            site.configure(13, (QUEUE, "/added/", *routes))
+            site.store.mode = None
+            wait_for("the added queue is known",
+                     lambda: site.call("GET", "/added/")[0] == 200)
+
     def test_a_worker_that_restarts_under_its_id_has_lost_its_tasks(self):
         with PlatformSite(hosts=1) as site:
             job = site.submit(STEPS, seconds=1.0)
