Route requests by host names in any case and by absolute-form targets

Cause: the host was compared byte for byte, and the target was taken for a path. HTTP/1.1 (RFC 9110, 4.2.3; RFC 9112, 3.2.2) has host names case-insensitive and obliges servers to accept the absolute form, whose host replaces the Host header.

Not done: percent-encoded letters ("/%6Frders/") and a host with a dot at its end still get 404.

--- a/packages/jobs/queue.h
+++ b/packages/jobs/queue.h
@@ -31,7 +31,7 @@
 /// A queue that callers address by host name and path prefix.
 struct Queue {
   QueueId id;
-  std::string host;
+  std::string host;  ///< In lower case.
   std::string prefix;
   QueuePolicy policy;
   Duration timeout{0};  ///< Of the route's requests, as declared; 0: none.
--- a/packages/net/http_types.h
+++ b/packages/net/http_types.h
@@ -33,7 +33,9 @@
 struct Request {
   std::string method;
   std::string target;  ///< Path and query.
-  std::string host;    ///< The Host header without its port.
+  /// The host that is addressed: in lower case, without its port. A server sets
+  /// it from an absolute-form target, otherwise from the Host header.
+  std::string host;
   std::string body;
   Headers headers;
 
--- a/packages/net/server_connection.cc
+++ b/packages/net/server_connection.cc
@@ -1,5 +1,9 @@
 #include "net/server_connection.h"
 
+#include <algorithm>
+#include <boost/algorithm/string/case_conv.hpp>
+#include <boost/algorithm/string/predicate.hpp>
+#include <string_view>
 #include <utility>
 
 namespace zinniacart::net {
@@ -14,8 +18,28 @@
 /// time (in milliseconds).
 constexpr Duration kWriteTimeout{10000};
 
-std::string HostWithoutPort(const std::string& host) {
-  return host.substr(0, host.rfind(':'));
+constexpr std::string_view kAbsoluteFormScheme = "http://";
+
+/// @returns the host in lower case, because host names are case-insensitive.
+std::string HostWithoutPort(const std::string& authority) {
+  return boost::algorithm::to_lower_copy(
+      authority.substr(0, authority.rfind(':')));
+}
+
+/// Splits an absolute-form target, which overrides the Host header.
+void SetHostAndTarget(std::string target, Request& request) {
+  if (!boost::algorithm::istarts_with(target, kAbsoluteFormScheme)) {
+    request.host = HostWithoutPort(request.Header("Host"));
+    request.target = std::move(target);
+    return;
+  }
+  const std::string rest = target.substr(kAbsoluteFormScheme.size());
+  const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+  request.host = HostWithoutPort(rest.substr(0, end));
+  request.target = rest.substr(end);
+  if (!request.target.starts_with('/')) {
+    request.target.insert(0, "/");
+  }
 }
 
 }  // namespace
@@ -75,13 +99,12 @@
   m_stream.expires_never();
   Request request;
   request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
   request.body = std::move(message.body());
   for (const auto& field : message) {
     request.headers.emplace_back(std::string(field.name_string()),
                                  std::string(field.value()));
   }
-  request.host = HostWithoutPort(request.Header("Host"));
+  SetHostAndTarget(std::string(message.target()), request);
   m_server->m_handler(std::move(request),
                       [self = shared_from_this()](Response response) {
                         self->Respond(std::move(response));
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tools"))
-from platform_site import QUEUE, PlatformSite, wait_for  # noqa: E402
+from platform_site import HOST_HEADER, QUEUE, PlatformSite, wait_for  # noqa: E402
 
 STEPS = [{"count": 3, "cpu": 500, "mem_mb": 100, "estimate_ms": 200},
          {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 200, "after": [0]}]
@@ -192,6 +192,20 @@
             wait_for("the added queue is known",
                      lambda: site.call("GET", "/added/")[0] == 200)
 
+    def test_requests_may_name_the_host_in_any_case_or_in_the_target(self):
+        with PlatformSite(entries=1, hosts=0) as site:
+            wait_for("waiting jobs are counted", lambda: site.call("GET", QUEUE)[0] == 200)
+            for target, host in [(QUEUE, HOST_HEADER.upper()),
+                                 (QUEUE, HOST_HEADER + ":8080"),
+                                 (f"http://{HOST_HEADER}{QUEUE}", HOST_HEADER),
+                                 (f"HTTP://{HOST_HEADER.upper()}:80{QUEUE}?x=/y", "other.example")]:
+                self.assertEqual((200, {"waiting": 0}),
+                                 site.call("GET", target, host=host), (target, host))
+            for target, host in [(QUEUE, "other.example"),
+                                 (f"http://other.example{QUEUE}", HOST_HEADER),
+                                 (f"http://{HOST_HEADER}", HOST_HEADER)]:
+                self.assertEqual(404, site.call("GET", target, host=host)[0], (target, host))
+
     def test_a_worker_that_restarts_under_its_id_has_lost_its_tasks(self):
         with PlatformSite(hosts=1) as site:
             job = site.submit(STEPS, seconds=1.0)
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -172,10 +172,11 @@
         except OSError:
             return False
 
-    def call(self, method, path, body=None, entry=0, timeout=4):
+    def call(self, method, path, body=None, entry=0, timeout=4, host=HOST_HEADER):
         """@returns status and body, or (None, reason) where no answer came."""
         try:
-            return self._request(self.entries[entry].ports[1], method, path, body, timeout)
+            return self._request(self.entries[entry].ports[1], method, path, body, timeout,
+                                 host)
         except (OSError, http.client.HTTPException) as error:
             return None, str(error)
 
@@ -196,11 +197,11 @@
         return [run for worker in self.workers for run in worker.log
                 if run.task.startswith(job)]
 
-    def _request(self, port, method, path, body=None, timeout=4):
+    def _request(self, port, method, path, body=None, timeout=4, host=HOST_HEADER):
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
         try:
             connection.request(method, path, json.dumps(body) if body else None,
-                               {"Host": HOST_HEADER, "Content-Type": "application/json",
+                               {"Host": host, "Content-Type": "application/json",
                                 "Zinniacart-Deadline-Ms": str(int(timeout * 1000))})
             response = connection.getresponse()
             text = response.read()
