Keep a job's policy from a newer configuration than the owner has

Callers: after a change of a route's service, a job that an entry accepted under the new version was placed on the old service's hosts, or counted failures by the old max_attempts, if the owner had not read that version yet.

Cause: the owner replaced the policy in a job's record by that of its own configuration without comparing which of the two is newer.

Fix: a record holds the version of its policy, and the owner replaces it only by the same or a newer one. Records stored before have version 0. A second test holds down what worked before: a record that is older than the owner's configuration takes the owner's policy, and a waiting job follows its queue to another service, also if the queue was dropped and added again meanwhile.

--- a/packages/jobs/job_record.cc
+++ b/packages/jobs/job_record.cc
@@ -87,6 +87,7 @@
   }
   json row{{"queue", record.queue.value()},
            {"policy", EncodePolicy(record.policy)},
+           {"policy_version", record.policy_version},
            {"accepted_at_ms", record.accepted_at_ms},
            {"payload", record.spec.payload},
            {"steps", std::move(steps)}};
@@ -105,6 +106,7 @@
     record.id = id;
     record.queue = QueueId(row.at("queue").get<std::string>());
     record.policy = DecodePolicy(row.at("policy"));
+    record.policy_version = row.value("policy_version", std::uint64_t{0});
     record.accepted_at_ms = row.at("accepted_at_ms");
     record.spec.payload = row.at("payload");
     for (const json& step : row.at("steps")) {
--- a/packages/jobs/job_record.h
+++ b/packages/jobs/job_record.h
@@ -15,6 +15,8 @@
   JobId id;
   QueueId queue;
   QueuePolicy policy;  ///< As of acceptance; replaced by newer declarations.
+  /// Version of the configuration that declared `policy`.
+  std::uint64_t policy_version = 0;
   std::int64_t accepted_at_ms = 0;  ///< Wall clock, since 1970.
   JobSpec spec;
 };
--- a/packages/jobs/tests/job_spec_test.cc
+++ b/packages/jobs/tests/job_spec_test.cc
@@ -72,6 +72,7 @@
   record.policy.max_attempts = 4;
   record.policy.stretch = 1.5;
   record.policy.objective = Duration(300);
+  record.policy_version = 9007199254740993;
   record.accepted_at_ms = 1783667592535;
   record.spec.payload = "(text) \"quoted\"";
   record.spec.steps = {MakeStep(4, 100), MakeStep(20, 7000, {0})};
@@ -88,6 +89,7 @@
                EncodeJobRecord(*decoded).c_str());
   STRCMP_EQUAL("r1-3", decoded->spec.steps[1].preferred_rack.c_str());
   LONGS_EQUAL(3, decoded->spec.occurrences());
+  CHECK(decoded->policy_version == record.policy_version);
 }
 
 TEST(JobSpec, DecodingInvalidBytesReturnsInvalidArgument) {
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -31,12 +31,18 @@
 void Scheduler::SetConfiguration(SiteConfiguration configuration) {
   m_configuration = std::move(configuration);
   for (auto& [id, job] : m_jobs) {
-    if (const Queue* queue = m_configuration.Find(job->record().queue)) {
+    if (const Queue* queue = FindNewerQueue(job->record())) {
       job->SetPolicy(queue->policy);
     }
   }
 }
 
+const Queue* Scheduler::FindNewerQueue(const JobRecord& record) const {
+  return m_configuration.version < record.policy_version
+             ? nullptr
+             : m_configuration.Find(record.queue);
+}
+
 void Scheduler::SetDrainedDomains(std::set<DomainId> domains) {
   m_drained_domains = std::move(domains);
 }
@@ -45,7 +51,7 @@
   if (m_jobs.contains(record.id)) {
     return;
   }
-  if (const Queue* queue = m_configuration.Find(record.queue)) {
+  if (const Queue* queue = FindNewerQueue(record)) {
     record.policy = queue->policy;
   }
   const JobId id = record.id;
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -315,6 +315,9 @@
   /// Orders the starts of the job whose placement is now stored.
   void ReleaseOrders(Job& job);
   Job* FindJob(const JobId& id);
+  /// @returns the job's queue, nullptr if it is not declared or if the job's
+  /// policy comes from a newer configuration than this owner has.
+  const Queue* FindNewerQueue(const JobRecord& record) const;
 
   const SchedulerSettings m_settings;
   const Clock& m_clock;
--- a/packages/scheduling/tests/scheduler_harness.h
+++ b/packages/scheduling/tests/scheduler_harness.h
@@ -83,6 +83,24 @@
     return record.id;
   }
 
+  /// Adds a job of one step that was accepted under version `version` of the
+  /// configuration, which sent its queue to `service`.
+  JobId AddJobAt(std::uint64_t version,
+                 const std::string& service,
+                 StepSpec step,
+                 const std::string& id = "job") {
+    JobRecord record;
+    record.id = JobId(id);
+    record.queue = QueueId("queue");
+    record.policy.service = ServiceId(service);
+    record.policy_version = version;
+    record.spec.payload = "payload";
+    record.spec.steps = {std::move(step)};
+    m_scheduler.AddJob(record, Duration(0));
+    m_records[record.id] = record;
+    return record.id;
+  }
+
   /// Stores all pending progress.
   /// @returns the number of jobs written.
   std::size_t Write() {
@@ -210,6 +228,18 @@
   std::map<JobId, std::pair<std::string, std::uint64_t>> m_stored;
 };
 
+/// @returns a configuration that sends the harness's queue to `service`.
+inline SiteConfiguration MakeConfiguration(std::uint64_t version,
+                                           const std::string& service) {
+  Queue queue;
+  queue.id = QueueId("queue");
+  queue.policy.service = ServiceId(service);
+  SiteConfiguration configuration;
+  configuration.version = version;
+  configuration.queues = {queue};
+  return configuration;
+}
+
 /// @returns a step of `count` tasks of `millicores` each.
 inline StepSpec MakeStep(std::uint32_t count, std::int64_t millicores) {
   StepSpec step;
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -484,6 +484,42 @@
   LONGS_EQUAL(0, harness.scheduler().CountWaiting(QueueId("other")));
 }
 
+// The entry that accepted the job knew a version that this owner has not read.
+TEST(Scheduler, AnOlderConfigurationDoesNotReplaceTheNewerPolicyOfAJob) {
+  harness.AddHost("old", 4);
+  harness.AddHost("new", 4);
+  harness.report("new").facts->service = ServiceId("moved");
+  harness.Report("new");
+  harness.scheduler().SetConfiguration(MakeConfiguration(1, "service"));
+
+  const JobId job = harness.AddJobAt(2, "moved", MakeStep(1, 1000));
+  harness.scheduler().SetConfiguration(MakeConfiguration(1, "service"));
+  harness.RunRound();
+  CHECK(harness.HostsOf(job) == std::vector<std::string>({"new"}));
+}
+
+TEST(Scheduler, AWaitingJobFollowsItsQueueToAnotherService) {
+  harness.AddHost("old", 4);
+  harness.AddHost("new", 4);
+  harness.report("new").facts->service = ServiceId("moved");
+  harness.Report("new");
+  // The entry that accepts the job has not read version 2 yet.
+  harness.scheduler().SetConfiguration(MakeConfiguration(2, "moved"));
+  const JobId early = harness.AddJobAt(1, "service", MakeStep(1, 1000));
+  harness.RunRound();
+  CHECK(harness.HostsOf(early) == std::vector<std::string>({"new"}));
+
+  // The queue is dropped and added again while a job waits.
+  const JobId waiting =
+      harness.AddJobAt(2, "moved", MakeStep(1, 1000), "waiting");
+  SiteConfiguration dropped;
+  dropped.version = 3;
+  harness.scheduler().SetConfiguration(dropped);
+  harness.scheduler().SetConfiguration(MakeConfiguration(4, "service"));
+  harness.RunRound();
+  CHECK(harness.HostsOf(waiting) == std::vector<std::string>({"old"}));
+}
+
 // A worker crashes and restarts under the same id while a start is in transit.
 // Nothing in the start distinguishes the new worker incarnation from the old.
 TEST(Scheduler, AStartThatMayReachTheNextWorkerIncarnationIsStoppedThereFirst) {
