Show a job whatever the name of the route that leads to it

Callers: GET PREFIX + ID of an accepted job got 410 if its route was removed and one with the same host and prefix, but another name, was added. Shown by a process test; whether such versions occur isn't known.

Cause: a job was compared with the queue by the route's name.

Fix: an id identifies a job, as the store's keys do, so the queue of a request for its state only has to exist. Not changed: the number of waiting jobs and the policy follow the name, so jobs accepted under the removed name are not counted as waiting under the new one.

The new test on the code before: FAIL: test_a_job_outlives_the_name_of_its_route (200, {'state': 'completed'}) != (410, {'error': 'no such job'}) and after: OK.

--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -194,7 +194,7 @@
     return HandOver(EntryId(*entry), respond);
   }
   if (const auto id = TargetSuffix(request, peer_paths::kJobState)) {
-    const auto state = m_owner->StateOf(JobId(*id), QueueId(request.body));
+    const auto state = m_owner->StateOf(JobId(*id));
     return respond(state ? net::Response{kOk, ToString(*state), {}}
                          : net::Response{kUnavailable, {}, {}});
   }
--- a/packages/site/job_intake.cc
+++ b/packages/site/job_intake.cc
@@ -227,18 +227,17 @@
 }
 
 void JobIntake::GetState(const JobId& job,
-                         const QueueId& queue,
                          std::function<void(Result<JobState>)> done) {
-  if (const auto state = m_owner.StateOf(job, queue)) {
+  if (const auto state = m_owner.StateOf(job)) {
     return done(*state);
   }
   const auto& owner = m_directory.owner();
   if (m_owner.active() || !owner || owner->entry == m_self) {
-    return ReadState(job, queue, std::move(done));
+    return ReadState(job, std::move(done));
   }
-  m_peers.Post(owner->address, peer_paths::kJobState + job.value(),
-               queue.value(), kOwnerTimeout,
-               [this, job, queue, done](Result<net::Response> response) {
+  m_peers.Post(owner->address, peer_paths::kJobState + job.value(), {},
+               kOwnerTimeout,
+               [this, job, done](Result<net::Response> response) {
                  if (response && response->status == kOk) {
                    const auto state = ParseJobState(response->body);
                    if (state) {
@@ -246,28 +245,23 @@
                    }
                    LogUnreadable(job, state.error());
                  }
-                 ReadState(job, queue, done);
+                 ReadState(job, done);
                });
 }
 
 void JobIntake::ReadState(const JobId& job,
-                          const QueueId& queue,
                           std::function<void(Result<JobState>)> done) {
-  m_store.Get(
-      store_keys::Job(job), kReadTimeout,
-      [this, job, queue, done](Result<StoreItem> item) {
-        if (!item) {
-          return done(tl::unexpected(item.error()));
-        }
-        const auto record = DecodeJobRecord(job, item->value);
-        if (!record) {
-          return done(tl::unexpected(record.error()));
-        }
-        if (record->queue != queue) {
-          return done(Fail(ErrorCode::kNotFound, "job is in another queue"));
-        }
-        ReadProgress(job, done);
-      });
+  m_store.Get(store_keys::Job(job), kReadTimeout,
+              [this, job, done](Result<StoreItem> item) {
+                if (!item) {
+                  return done(tl::unexpected(item.error()));
+                }
+                const auto record = DecodeJobRecord(job, item->value);
+                if (!record) {
+                  return done(tl::unexpected(record.error()));
+                }
+                ReadProgress(job, done);
+              });
 }
 
 void JobIntake::ReadProgress(const JobId& job,
--- a/packages/site/job_intake.h
+++ b/packages/site/job_intake.h
@@ -61,13 +61,12 @@
               OutcomeCallback done);
 
   /// Determines the state of a job: from the owner or, if the owner cannot
-  /// tell it, from the store.
-  /// @param done receives the state; `kNotFound` if `queue` has no such job,
+  /// tell it, from the store. The queue does not matter, because ids are unique
+  /// and a queue may be declared anew under another name.
+  /// @param done receives the state; `kNotFound` if there is no such job,
   ///             `kInvalidArgument` if a stored record cannot be parsed, or the
   ///             store's error, as `kStoreUnavailable`.
-  void GetState(const JobId& job,
-                const QueueId& queue,
-                std::function<void(Result<JobState>)> done);
+  void GetState(const JobId& job, std::function<void(Result<JobState>)> done);
 
   /// Counts the waiting jobs of a queue, as the owner knows them.
   /// @param done receives how many jobs wait for their first task to start;
@@ -96,9 +95,7 @@
   /// Commits again if the outcome is uncertain and time is left; else finishes.
   void RetryOrFinish(ChangePointer change);
   /// Determines the state of a job from the store.
-  void ReadState(const JobId& job,
-                 const QueueId& queue,
-                 std::function<void(Result<JobState>)> done);
+  void ReadState(const JobId& job, std::function<void(Result<JobState>)> done);
   void ReadProgress(const JobId& job,
                     std::function<void(Result<JobState>)> done);
 
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -377,14 +377,12 @@
   }
 }
 
-std::optional<JobState> Owner::StateOf(const JobId& job,
-                                       const QueueId& queue) const {
+std::optional<JobState> Owner::StateOf(const JobId& job) const {
   if (!m_loaded || !IsOwnershipConfirmed()) {
     return std::nullopt;
   }
   const auto found = m_scheduler.jobs().find(job);
-  if (found == m_scheduler.jobs().end() ||
-      found->second->record().queue != queue) {
+  if (found == m_scheduler.jobs().end()) {
     return std::nullopt;
   }
   return found->second->visible_state();
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -79,8 +79,8 @@
   bool active() const { return m_loaded; }
 
   /// @returns the state of `job`; nothing if this entry is not active, its
-  /// ownership was not confirmed recently enough, or `queue` has no such job.
-  std::optional<JobState> StateOf(const JobId& job, const QueueId& queue) const;
+  /// ownership was not confirmed recently enough, or it has no such job.
+  std::optional<JobState> StateOf(const JobId& job) const;
   /// @returns how many jobs of `queue` wait for their first task; nothing if
   /// this entry is not active or its ownership was not confirmed recently
   /// enough.
--- a/packages/site/peer_paths.h
+++ b/packages/site/peer_paths.h
@@ -17,9 +17,10 @@
 /// Entry to owner: asks it to hand the ownership over to the entry with this
 /// id, which can carry more load.
 inline const std::string kHandOver = "/owner/hand-over/";
-/// Entry to owner, for callers' queries. The body is a queue's id; the response
-/// is the state of the job with this id, or the number of jobs that wait for
-/// their first task. Status 503: this entry cannot answer for it.
+/// Entry to owner, for callers' queries. The response is the state of the job
+/// with this id, or the number of jobs of a queue that wait for their first
+/// task (the body is the queue's id). Status 503: this entry cannot answer for
+/// it.
 inline const std::string kJobState = "/owner/job-state/";
 inline const std::string kWaitingJobs = "/owner/waiting-jobs";
 /// Entry to entry: asks it to store a job (the body is its record) or a
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -206,6 +206,26 @@
                                  (f"http://{HOST_HEADER}", HOST_HEADER)]:
                 self.assertEqual(404, site.call("GET", target, host=host)[0], (target, host))
 
+    def test_a_job_outlives_the_name_of_its_route(self):
+        with PlatformSite(hosts=1) as site:
+            job = site.submit(STEPS)
+            self.completes(site, job)
+            for version, prefix, name in [(2, "/other/", "other"), (3, QUEUE, "renamed")]:
+                site.store.put("op/config", {"version": version, "routes": [
+                    {"name": name, "host": HOST_HEADER, "prefix": prefix, "service": "orders"}]})
+                for entry in range(2):
+                    wait_for("the route is known",
+                             lambda: site.call("GET", prefix, entry=entry)[0] == 200)
+            for entry in range(2):
+                self.assertEqual((200, {"state": "completed"}),
+                                 site.call("GET", QUEUE + job, entry=entry))
+            owner = site.owner()
+            site.entries[1 - site.entries.index(owner)].kill()
+            owner.kill()
+            owner.start()
+            wait_for("the job is shown again",
+                     lambda: site.state(job, site.entries.index(owner)) == "completed")
+
     def test_a_worker_that_restarts_under_its_id_has_lost_its_tasks(self):
         with PlatformSite(hosts=1) as site:
             job = site.submit(STEPS, seconds=1.0)
