--- a/tests/soak_configuration.py
+++ b/tests/soak_configuration.py
@@ -132,7 +132,10 @@
 
 
 def run_store(pipe, seed, gaps):
-    """A process: the store and its operator. Commands: "go", "change", "stop"."""
+    """A process: the store and its operator. Commands: "go", "change"."""
+    # Each answer is one segment; split ones wait for the peer's delayed ACK.
+    platform_store.Handler.wbufsize = -1
+    platform_store.Handler.disable_nagle_algorithm = True
     store = IndexedStore()
     operator = Operator(store, seed, gaps)
     address = platform_store.serve(store).server_address
@@ -149,14 +152,10 @@
         if not pipe.poll(max(0.0, min(next_change or now + 0.05, now + 0.05) - now)):
             continue
         command = pipe.recv()
-        if command == "stop":
-            return
         if command == "go":
             next_change = time.monotonic()
-        elif command == "hold":
-            next_change = None
         elif command == "change":
-            operator.change(1, 1)
+            operator.change(add=2, drop=1)
             pipe.send(operator.record[-1])
 
 
@@ -439,7 +438,7 @@
             self.pauses.append((entry, begun, time.monotonic()))
             await asyncio.sleep(self.random.uniform(1, CONTACT_SECONDS + 2))
 
-    async def play(self):
+    async def get_ready(self):
         patience = time.monotonic() + 30
         for entry in range(len(self.entries)):
             while True:
@@ -450,9 +449,50 @@
                     raise RuntimeError(f"entry-{entry} did not start; see {self.folder}")
                 await asyncio.sleep(0.1)
         await asyncio.sleep(2)
+        self.began = time.monotonic()
+
+    async def play_directed(self):
+        """Suspends all entries, changes the routes, and lets requests that are sent
+        later than the bound wait in the sockets beside the store's notice."""
+        await self.get_ready()
+        for _ in range(self.options.directed):
+            connections = {}
+            for entry in range(len(self.entries)):
+                connections[entry] = []
+                for _ in range(self.options.waiting // 2):
+                    answer = await self.exchange(self.entries[entry].ports[1], "GET",
+                                                 JOB_PREFIX, close=False)
+                    connections[entry].append(answer[3])
+            await asyncio.sleep(self.random.uniform(0, 0.7))
+            for entry in self.entries:
+                entry.child.send_signal(signal.SIGSTOP)
+            self.store_pipe.send("change")
+            before, after = self.versions[-1], self.store_pipe.recv()
+            self.versions.append(after)
+            changed = sorted(before.routes ^ after.routes)
+            await asyncio.sleep(after.acknowledged + CONFIG_APPLY_SECONDS + 0.02
+                                - time.monotonic())
+            asking = []
+            for entry, kept in connections.items():
+                for connection in kept + [None] * len(kept):
+                    asking.append(asyncio.create_task(self.ask_once(
+                        entry, self.random.choice(changed), connection)))
+                    await asyncio.sleep(0)
+            await asyncio.sleep(self.random.uniform(*self.options.pause))
+            for entry in self.entries:
+                entry.child.send_signal(signal.SIGCONT)
+            await asyncio.gather(*asking)
+            await asyncio.sleep(0.3)
+
+    async def ask_once(self, entry, route, connection):
+        status, sent, answered, _, _ = await self.exchange(
+            self.entries[entry].ports[1], "GET", route, kept=connection)
+        self.asked.append(Asked(entry, route, sent, answered, status, bool(connection)))
+
+    async def play(self):
+        await self.get_ready()
         self.background = []
         used_before = self.used_by_entries()
-        self.began = time.monotonic()
         until = self.began + self.options.seconds
         stop = self.fork.Event()
         if self.options.allotment:
@@ -621,6 +661,24 @@
     return not (stale or regressed or ended)
 
 
+def report_directed(soak, verdict):
+    """Prints what was measured. @returns whether every judged answer was allowed."""
+    print(f"options {vars(soak.options)}")
+    for kept in (True, False):
+        judged = [one for one in verdict.judged if one.kept == kept]
+        stale = [one for one in verdict.stale if one.kept == kept]
+        print(f"on {'kept' if kept else 'new'} connections: judged {len(judged)}, stale "
+              f"{len(stale)} ({sum(1 for one in stale if one.status == 404)} times 404)")
+    print("statuses", dict(collections.Counter(one.status for one in verdict.asked)))
+    for number, entry in enumerate(soak.entries):
+        delays = [delay for delay, _ in soak.in_force_delays(number)]
+        print(f"{entry.name}: in force after p50 {quantile(delays, 0.5):.3f} max "
+              f"{max(delays, default=float('nan')):.3f} s")
+    for one in verdict.stale[:soak.options.shown]:
+        print("STALE", verdict.describe(one, soak.began))
+    return not verdict.stale
+
+
 def is_decisive(verdict, asked):
     """@returns whether some older version than the allowed ones forbids the answer's
     opposite, that is, whether a late entry would have been noticed."""
@@ -644,6 +702,9 @@
     parser.add_argument("--allotment", type=float, default=0, help="cores of an entry")
     parser.add_argument("--busy", type=int, default=0, help="busy processes beside it")
     parser.add_argument("--pause", type=float, nargs=2, help="shortest, longest in s")
+    parser.add_argument("--directed", type=int, default=0,
+                        help="only suspend all entries this often, with requests waiting")
+    parser.add_argument("--waiting", type=int, default=20, help="requests at each entry")
     parser.add_argument("--shown", type=int, default=5)
     parser.add_argument("--logs", default=None, help="folder that is kept")
     return parser.parse_args(arguments)
@@ -656,6 +717,10 @@
     soak = Soak(options)
     try:
         soak.start()
+        if options.directed:
+            options.pause = options.pause or [0.05, 0.6]
+            asyncio.run(soak.play_directed())
+            return 0 if report_directed(soak, soak.judge()) else 1
         asyncio.run(soak.play())
         return 0 if report(soak, soak.judge()) else 1
     finally:
