--- a/tests/soak_configuration.py
+++ b/tests/soak_configuration.py
@@ -175,32 +175,34 @@
 def run_allotment(stop, pids, share):
     """A process: stops each of `pids` once it has used its share of a window.
 
-    What is used beyond the share is taken off the next window's.
+    What is used beyond the share is taken off the next window's. A process that
+    ends is ignored until another takes its place in `pids`.
     """
     def used(pid):
         return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
 
     allotment = share * ALLOTMENT_WINDOW_SECONDS
-    limit = {pid: used(pid) + allotment for pid in pids}
-    stopped = set()
-    window_end = time.monotonic() + ALLOTMENT_WINDOW_SECONDS
-    try:
-        while not stop.is_set():
-            if time.monotonic() >= window_end:
-                window_end += ALLOTMENT_WINDOW_SECONDS
-                for pid in pids:
-                    limit[pid] = min(limit[pid], used(pid)) + allotment
+    limit, stopped = {}, set()
+    window_end = time.monotonic()
+    while not stop.is_set():
+        is_new_window = time.monotonic() >= window_end
+        if is_new_window:
+            window_end += ALLOTMENT_WINDOW_SECONDS
+        for pid in pids[:]:
+            try:
+                if is_new_window:
+                    limit[pid] = min(limit.get(pid, used(pid)), used(pid)) + allotment
                     if pid in stopped and used(pid) < limit[pid]:
                         os.kill(pid, signal.SIGCONT)
                         stopped.discard(pid)
-            for pid in pids:
-                if pid not in stopped and used(pid) >= limit[pid]:
+                if pid not in stopped and used(pid) >= limit.get(pid, used(pid) + 1):
                     os.kill(pid, signal.SIGSTOP)
                     stopped.add(pid)
-            time.sleep(0.0005)
-    finally:
-        for pid in pids:
-            os.kill(pid, signal.SIGCONT)
+            except OSError:
+                stopped.discard(pid)
+        time.sleep(0.0005)
+    for pid in stopped:
+        os.kill(pid, signal.SIGCONT)
 
 
 class Soak:
@@ -219,6 +221,7 @@
         self.watched_at = {}    # By version: when a watch of our own showed it.
         self.pauses = []        # (entry, from, until)
         self.idle = collections.defaultdict(list)
+        self.kills = []
         self.jobs = collections.Counter()
         self.wall_offset = time.time() - time.monotonic()
         self.fork = multiprocessing.get_context("fork")
@@ -438,6 +441,33 @@
             self.pauses.append((entry, begun, time.monotonic()))
             await asyncio.sleep(self.random.uniform(1, CONTACT_SECONDS + 2))
 
+    async def kill_owners(self, until):
+        """Kills the entry that owns the scheduling and starts it again, repeatedly.
+        Another one takes over and loads all jobs."""
+        while True:
+            await asyncio.sleep(self.options.kill_owner_every)
+            if time.monotonic() > until - 2 * CONTACT_SECONDS:
+                return
+            owner = self.owner()
+            if owner is None:
+                continue
+            entry = self.entries[owner]
+            self.kills.append(f"entry-{owner} at {time.monotonic() - self.began:.3f}")
+            begun = time.monotonic()
+            entry.kill()
+            self.idle[owner].clear()
+            await asyncio.sleep(1)
+            entry.start()
+            self.allotted_pids[owner] = entry.child.pid
+            self.pauses.append((owner, begun, time.monotonic()))
+
+    def owner(self):
+        """@returns the number of the entry that gained the ownership last."""
+        gained = [(line, number) for number, entry in enumerate(self.entries)
+                  for line in entry.log_path.read_text().splitlines()
+                  if '"ownership gained"' in line]
+        return max(gained)[1] if gained else None
+
     async def get_ready(self):
         patience = time.monotonic() + 30
         for entry in range(len(self.entries)):
@@ -495,9 +525,11 @@
         used_before = self.used_by_entries()
         until = self.began + self.options.seconds
         stop = self.fork.Event()
+        self.allotted_pids = self.fork.Array(
+            "i", [entry.child.pid for entry in self.entries])
         if self.options.allotment:
             child = self.fork.Process(target=run_allotment, args=(
-                stop, [entry.child.pid for entry in self.entries],
+                stop, self.allotted_pids,
                 self.options.allotment), daemon=True)
             child.start()
             self.children.append(child)
@@ -512,6 +544,8 @@
         if self.options.load > 0:
             parts += [self.load(until, kind) for kind in JOB_KINDS]
             parts.append(self.load_perpetual(until))
+        if self.options.kill_owner_every:
+            parts.append(self.kill_owners(until))
         if self.options.pause:
             parts.append(self.pause_entries(until))
         await asyncio.gather(*parts)
@@ -631,7 +665,8 @@
     tight = sum(1 for one in verdict.judged if is_decisive(verdict, one))
     print(f"options {vars(soak.options)}")
     print(f"versions {len(soak.versions)}, asked {len(verdict.asked)}, statuses "
-          f"{dict(statuses)}, jobs {dict(soak.jobs)}, pauses {len(soak.pauses)}")
+          f"{dict(statuses)}, jobs {dict(soak.jobs)}, pauses {len(soak.pauses)}, kills "
+          f"{soak.kills}")
     print(f"judged {len(verdict.judged) - judged_near} (decisive {tight} of all): stale "
           f"{len(stale)}, regressed {len(regressed)}; near pauses judged {judged_near}: "
           f"stale {len(near)}, regressed {len(verdict.regressed) - len(regressed)}")
@@ -702,6 +737,7 @@
     parser.add_argument("--allotment", type=float, default=0, help="cores of an entry")
     parser.add_argument("--busy", type=int, default=0, help="busy processes beside it")
     parser.add_argument("--pause", type=float, nargs=2, help="shortest, longest in s")
+    parser.add_argument("--kill-owner-every", type=float, default=0, help="seconds")
     parser.add_argument("--directed", type=int, default=0,
                         help="only suspend all entries this often, with requests waiting")
     parser.add_argument("--waiting", type=int, default=20, help="requests at each entry")
