--- a/tests/soak_configuration.py
+++ b/tests/soak_configuration.py
@@ -456,7 +456,7 @@
             begun = time.monotonic()
             entry.kill()
             self.idle[owner].clear()
-            await asyncio.sleep(1)
+            await asyncio.sleep(self.options.down)
             entry.start()
             self.allotted_pids[owner] = entry.child.pid
             self.pauses.append((owner, begun, time.monotonic()))
@@ -549,7 +549,9 @@
         if self.options.pause:
             parts.append(self.pause_entries(until))
         await asyncio.gather(*parts)
-        self.used = [(after - before) / (time.monotonic() - self.began) for before, after
+        # Unknown for entries that were started again.
+        self.used = [(after - before) / (time.monotonic() - self.began) if after > before
+                     else float("nan") for before, after
                      in zip(used_before, self.used_by_entries())]
         stop.set()
         for task in self.background:
@@ -738,6 +740,7 @@
     parser.add_argument("--busy", type=int, default=0, help="busy processes beside it")
     parser.add_argument("--pause", type=float, nargs=2, help="shortest, longest in s")
     parser.add_argument("--kill-owner-every", type=float, default=0, help="seconds")
+    parser.add_argument("--down", type=float, default=6, help="seconds after a kill")
     parser.add_argument("--directed", type=int, default=0,
                         help="only suspend all entries this often, with requests waiting")
     parser.add_argument("--waiting", type=int, default=20, help="requests at each entry")
