--- a/tests/soak_configuration.py
+++ b/tests/soak_configuration.py
@@ -692,10 +692,18 @@
     for kind, rows in (("STALE", stale), ("REGRESSED", regressed), ("near a pause", near)):
         for one in rows[:soak.options.shown]:
             print(kind, verdict.describe(one, soak.began))
+    ended = print_ended(soak)
+    is_decided = verdict.judged and tight > 0
+    if not is_decided:
+        print("no answer could have shown a late configuration")
+    return bool(is_decided) and not (stale or regressed or ended)
+
+
+def print_ended(soak):
     ended = [entry.name for entry in soak.entries if entry.child.poll() is not None]
     if ended:
         print("ended by itself:", ended)
-    return not (stale or regressed or ended)
+    return ended
 
 
 def report_directed(soak, verdict):
@@ -713,7 +721,12 @@
               f"{max(delays, default=float('nan')):.3f} s")
     for one in verdict.stale[:soak.options.shown]:
         print("STALE", verdict.describe(one, soak.began))
-    return not verdict.stale
+    # Refusals are not judged; an entry must not avoid the question by them.
+    is_answering = 2 * len(verdict.judged) >= len(verdict.asked) > 0
+    if not is_answering:
+        print("fewer than half of the requests were answered with 200 or 404")
+    ended = print_ended(soak)
+    return is_answering and not (verdict.stale or ended)
 
 
 def is_decisive(verdict, asked):
