--- a/packages/net/http_types.h
+++ b/packages/net/http_types.h
@@ -33,7 +33,9 @@
 struct Request {
   std::string method;
   std::string target;  ///< Path and query.
-  std::string host;    ///< The Host header without its port.
+  /// The host that is addressed: in lower case, without its port. A server sets
+  /// it from an absolute-form target, otherwise from the Host header.
+  std::string host;
   std::string body;
   Headers headers;
 
@@ -61,7 +63,8 @@
 
 /// Receives the outcome of a call. `kUnreachable`: no connection was made and
 /// nothing was sent. `kOutcomeUnknown`: the server may have executed the
-/// request.
+/// request. `kTooLarge`: it has executed it, but the response is larger than
+/// the client accepts.
 using ResponseCallback = std::function<void(Result<Response>)>;
 
 /// Sends the response of one request; call it exactly once.
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -31,12 +31,18 @@
 void Scheduler::SetConfiguration(SiteConfiguration configuration) {
   m_configuration = std::move(configuration);
   for (auto& [id, job] : m_jobs) {
-    if (const Queue* queue = m_configuration.Find(job->record().queue)) {
+    if (const Queue* queue = FindNewerQueue(job->record())) {
       job->SetPolicy(queue->policy);
     }
   }
 }
 
+const Queue* Scheduler::FindNewerQueue(const JobRecord& record) const {
+  return m_configuration.version < record.policy_version
+             ? nullptr
+             : m_configuration.Find(record.queue);
+}
+
 void Scheduler::SetDrainedDomains(std::set<DomainId> domains) {
   m_drained_domains = std::move(domains);
 }
@@ -45,7 +51,7 @@
   if (m_jobs.contains(record.id)) {
     return;
   }
-  if (const Queue* queue = m_configuration.Find(record.queue)) {
+  if (const Queue* queue = FindNewerQueue(record)) {
     record.policy = queue->policy;
   }
   const JobId id = record.id;
@@ -138,11 +144,13 @@
         now - host.last_report_at > m_settings.report_timeout) {
       host.reachable = false;
     }
-    if (!host.runs.empty() &&
-        now - host.last_report_at > m_settings.report_timeout &&
+    const bool overdue = now - host.last_report_at > m_settings.report_timeout;
+    if (!host.runs.empty() && (overdue || host.without_worker) &&
         now > host.granted_stamp_received.value_or(m_ownership_began) +
                   LeaseExpiryBound(host)) {
-      ExpireRuns(host, "no report from the host and its lease has expired");
+      ExpireRuns(
+          host,
+          "no report of its runs from the host and its lease has expired");
     }
     for (auto& [run_id, run] : host.runs) {
       const bool unconfirmed = (run.ordered && !run.started) || run.stopping;
@@ -201,6 +209,9 @@
   }
   std::size_t waiting = 0;
   for (const ReadyStep& ready : ReadySteps()) {
+    if (ready.overdue) {
+      continue;  // Its tasks are also counted with the other ones of the step.
+    }
     const auto& tasks = ready.job->At(ready.occurrence, ready.step).tasks;
     waiting += static_cast<std::size_t>(std::count_if(
         tasks.begin(), tasks.end(),
@@ -339,7 +350,7 @@
 std::vector<HostId> Scheduler::HostsWithOrders() const {
   std::vector<HostId> hosts;
   for (const auto& [id, host] : m_hosts) {
-    if (host.has_orders && host.listed) {
+    if (host.has_orders && host.listed && !host.without_worker) {
       hosts.push_back(id);
     }
   }
@@ -353,15 +364,18 @@
   orders.owner = m_owner;
   orders.incarnation = host.incarnation;
   orders.recorded_ends = host.recorded_ends;
-  if (grant && host.listed) {
+  if (grant && host.listed && !host.without_worker) {
     host.granted_stamp_received = host.stamp_received;
+    orders.granted_stamp = host.stamp;
   }
-  orders.granted_stamp =
-      host.granted_stamp_received && grant ? host.stamp : Instant{0};
   for (const TaskRun& withdrawn : host.WithdrawStartsBeyondCapacity()) {
     m_log({"run stopped", withdrawn, host.id(),
            "the worker's capacity has shrunk before it was started"});
   }
+  host.has_orders = false;
+  if (host.without_worker) {
+    return orders;
+  }
   const Instant now = m_clock.Now();
   for (auto& [run_id, run] : host.runs) {
     if (run.started && run.pace_pending) {
@@ -384,7 +398,6 @@
   orders.stops.insert(orders.stops.end(), host.orphans.begin(),
                       host.orphans.end());
   host.orphans.clear();
-  host.has_orders = false;
   return orders;
 }
 
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -85,6 +85,9 @@
   host.stamp = report.stamp;
   host.stamp_received = now;
   host.reachable = report.worker_reachable;
+  host.has_orders =
+      host.has_orders || (host.without_worker && report.incarnation);
+  host.without_worker = !report.incarnation;
   if (report.facts) {
     if (!host.facts || host.facts->capacity != report.facts->capacity) {
       host.refused_capacity_at.reset();
@@ -145,9 +148,13 @@
     }
     host.processed_ends = ended.number;
     ApplyEnd(host, ended);
-    const Job* job = FindJob(ended.id.task.job);
+    Job* job = FindJob(ended.id.task.job);
     host.pending_ends[ended.number] =
         Host::PendingEnd{ended.id.task.job, job ? job->version() : 0};
+    if (job != nullptr && job->dirty()) {
+      // The worker keeps all ends from this one on until the version is stored.
+      MarkDirty(*job);
+    }
   }
 }
 
@@ -165,6 +172,9 @@
     OnProven(host, ended.id, found->second);
   }
   Job* job = FindJob(ended.id.task.job);
+  if (Task* task = job == nullptr ? nullptr : job->Find(ended.id.task)) {
+    task->worked_until = m_clock.Now();
+  }
   if (job == nullptr || ended.kind != EndKind::kDone) {
     const bool failed = ended.kind == EndKind::kFailed;
     DropRun(host, ended.id, ended.checkpoint, failed, ToString(ended.kind));
@@ -174,7 +184,6 @@
   LearnRunTime(*job, run);
   host.runs.erase(ended.id);
   CountOutcome(host, ended.id, false);
-  const bool was_active = job->active();
   const StepSpec& step = job->spec().steps[ended.id.task.step];
   if (step.perpetual) {
     job->Release(ended.id.task, ended.checkpoint, false);
@@ -182,9 +191,6 @@
     job->Finish(ended.id.task);
     StopDuplicateRun(*job, ended.id);
   }
-  if (was_active || job->state() != JobState::kCancelled) {
-    MarkDirty(*job);
-  }
 }
 
 void Scheduler::LearnRunTime(const Job& job, const HostedRun& run) {
@@ -211,7 +217,6 @@
   }
   job->Finish(ended.id.task);
   StopDuplicateRun(*job, ended.id);
-  MarkDirty(*job);
 }
 
 void Scheduler::CountOutcome(Host& host, const TaskRun& id, bool failed) {
@@ -372,6 +377,8 @@
                         CheckpointId checkpoint,
                         bool failed,
                         const char* reason) {
+  const auto run = host.runs.find(id);
+  const bool worked = run != host.runs.end() && run->second.started;
   host.runs.erase(id);
   m_log({"run released", id, host.id(), reason});
   Job* job = FindJob(id.task.job);
@@ -391,6 +398,9 @@
     return;
   }
   const bool was_active = job->active();
+  if (worked) {
+    task->worked_until = m_clock.Now();
+  }
   job->Release(id.task, checkpoint, failed);
   MarkDirty(*job);
   if (was_active && !job->active()) {
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -272,6 +272,20 @@
   LONGS_EQUAL(0, harness.Orders("a").stops.size());
 }
 
+// A task that finishes while its job is being cancelled left an end that was
+// never recorded, and its worker kept all later ends.
+TEST(Scheduler, AnEndOfACancelledJobDoesNotHoldBackLaterEnds) {
+  harness.AddHost("a", 4);
+  const JobId cancelled = harness.AddJob("cancelled", MakeStep(1, 1000));
+  const JobId other = harness.AddJob("other", MakeStep(1, 1000));
+  harness.RunRound();
+  harness.scheduler().CancelJob(cancelled);
+  harness.End("a", MakeRun(cancelled, 0, 1), EndKind::kDone);
+  harness.End("a", MakeRun(other, 0, 1), EndKind::kDone);
+  harness.Write();
+  LONGS_EQUAL(2, harness.Orders("a").recorded_ends);
+}
+
 TEST(Scheduler, ADrainedDomainGetsNoTasks) {
   harness.AddHost("a", 4);
   harness.scheduler().SetDrainedDomains({DomainId("domain-a")});
@@ -310,6 +324,52 @@
   CHECK(harness.HostsOf(job) == std::vector<std::string>{"b"});
 }
 
+// The reports of an agent that had restarted without its worker kept the runs
+// of that worker from being released.
+TEST(Scheduler, RunsAreReleasedWhoseAgentHasRestartedWithoutItsWorker) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  harness.AddHost("b", 4);
+  HostReport& report = harness.report("a");
+  report = HostReport();
+  report.agent = Incarnation(2);
+  const Instant restarted = harness.clock().Now();
+  while (harness.clock().Now() - restarted < Duration(6000)) {
+    harness.Report("a");
+    harness.Report("b");
+    harness.Orders("a");
+    harness.scheduler().OnTick();
+    harness.scheduler().Place();
+    harness.clock().Advance(Duration(100));
+  }
+  STRCMP_EQUAL("b", harness.HostsOf(job).at(0).c_str());
+}
+
+// A start without a grant is refused by the agent, while the same start from
+// the agent's previous process may still be on its way to the worker.
+TEST(Scheduler, AStartIsNotSentToAnAgentThatHasNotReachedItsWorker) {
+  harness.AddHost("a", 4);
+  harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  harness.Write();
+  LONGS_EQUAL(1, harness.Orders("a").starts.size());
+  const HostReport reached = harness.report("a");
+  HostReport& report = harness.report("a");
+  report = HostReport();
+  report.agent = Incarnation(2);
+  harness.Report("a");
+  LONGS_EQUAL(0, harness.Orders("a").starts.size());
+  report.incarnation = reached.incarnation;
+  report.listed = report.worker_reachable = true;
+  harness.Report("a");
+  CHECK(harness.scheduler().HostsWithOrders() ==
+        std::vector<HostId>{HostId("a")});
+  const HostOrders orders = harness.Orders("a");
+  LONGS_EQUAL(1, orders.starts.size());
+  CHECK(orders.granted_stamp == report.stamp);
+}
+
 TEST(Scheduler, ARunOfAPreviousWorkerIncarnationHasEnded) {
   harness.AddHost("a", 4);
   const JobId job = harness.AddJob("job", MakeStep(1, 1000));
@@ -484,6 +544,42 @@
   LONGS_EQUAL(0, harness.scheduler().CountWaiting(QueueId("other")));
 }
 
+// The entry that accepted the job knew a version that this owner has not read.
+TEST(Scheduler, AnOlderConfigurationDoesNotReplaceTheNewerPolicyOfAJob) {
+  harness.AddHost("old", 4);
+  harness.AddHost("new", 4);
+  harness.report("new").facts->service = ServiceId("moved");
+  harness.Report("new");
+  harness.scheduler().SetConfiguration(MakeConfiguration(1, "service"));
+
+  const JobId job = harness.AddJobAt(2, "moved", MakeStep(1, 1000));
+  harness.scheduler().SetConfiguration(MakeConfiguration(1, "service"));
+  harness.RunRound();
+  CHECK(harness.HostsOf(job) == std::vector<std::string>({"new"}));
+}
+
+TEST(Scheduler, AWaitingJobFollowsItsQueueToAnotherService) {
+  harness.AddHost("old", 4);
+  harness.AddHost("new", 4);
+  harness.report("new").facts->service = ServiceId("moved");
+  harness.Report("new");
+  // The entry that accepts the job has not read version 2 yet.
+  harness.scheduler().SetConfiguration(MakeConfiguration(2, "moved"));
+  const JobId early = harness.AddJobAt(1, "service", MakeStep(1, 1000));
+  harness.RunRound();
+  CHECK(harness.HostsOf(early) == std::vector<std::string>({"new"}));
+
+  // The queue is dropped and added again while a job waits.
+  const JobId waiting =
+      harness.AddJobAt(2, "moved", MakeStep(1, 1000), "waiting");
+  SiteConfiguration dropped;
+  dropped.version = 3;
+  harness.scheduler().SetConfiguration(dropped);
+  harness.scheduler().SetConfiguration(MakeConfiguration(4, "service"));
+  harness.RunRound();
+  CHECK(harness.HostsOf(waiting) == std::vector<std::string>({"old"}));
+}
+
 // A worker crashes and restarts under the same id while a start is in transit.
 // Nothing in the start distinguishes the new worker incarnation from the old.
 TEST(Scheduler, AStartThatMayReachTheNextWorkerIncarnationIsStoppedThereFirst) {
--- a/packages/site/job_intake.cc
+++ b/packages/site/job_intake.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/json_text.h"
 #include "base/logging.h"
 #include "site/peer_paths.h"
 #include "site/store_keys.h"
@@ -42,13 +43,11 @@
 /// @returns the state in a stored progress record, `kInvalidArgument` if it has
 /// none or an unknown one.
 Result<JobState> StateOfProgress(const std::string& bytes) {
-  const auto row = nlohmann::json::parse(bytes, nullptr, false);
-  const auto name = row.is_object() ? row.find("state") : row.end();
-  if (name == row.end() || !name->is_string()) {
-    return Fail(ErrorCode::kInvalidArgument, "the progress has no state",
-                "state");
+  try {
+    return ParseJobState(ParseJson(bytes).at("state").get<std::string>());
+  } catch (const std::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument, error.what(), "state");
   }
-  return ParseJobState(name->get<std::string>());
 }
 
 /// Logs a job state that cannot be parsed; it is not returned to the caller.
@@ -227,18 +226,17 @@
 }
 
 void JobIntake::GetState(const JobId& job,
-                         const QueueId& queue,
                          std::function<void(Result<JobState>)> done) {
-  if (const auto state = m_owner.StateOf(job, queue)) {
+  if (const auto state = m_owner.StateOf(job)) {
     return done(*state);
   }
   const auto& owner = m_directory.owner();
   if (m_owner.active() || !owner || owner->entry == m_self) {
-    return ReadState(job, queue, std::move(done));
+    return ReadState(job, std::move(done));
   }
-  m_peers.Post(owner->address, peer_paths::kJobState + job.value(),
-               queue.value(), kOwnerTimeout,
-               [this, job, queue, done](Result<net::Response> response) {
+  m_peers.Post(owner->address, peer_paths::kJobState + job.value(), {},
+               kOwnerTimeout,
+               [this, job, done](Result<net::Response> response) {
                  if (response && response->status == kOk) {
                    const auto state = ParseJobState(response->body);
                    if (state) {
@@ -246,28 +244,23 @@
                    }
                    LogUnreadable(job, state.error());
                  }
-                 ReadState(job, queue, done);
+                 ReadState(job, done);
                });
 }
 
 void JobIntake::ReadState(const JobId& job,
-                          const QueueId& queue,
                           std::function<void(Result<JobState>)> done) {
-  m_store.Get(
-      store_keys::Job(job), kReadTimeout,
-      [this, job, queue, done](Result<StoreItem> item) {
-        if (!item) {
-          return done(tl::unexpected(item.error()));
-        }
-        const auto record = DecodeJobRecord(job, item->value);
-        if (!record) {
-          return done(tl::unexpected(record.error()));
-        }
-        if (record->queue != queue) {
-          return done(Fail(ErrorCode::kNotFound, "job is in another queue"));
-        }
-        ReadProgress(job, done);
-      });
+  m_store.Get(store_keys::Job(job), kReadTimeout,
+              [this, job, done](Result<StoreItem> item) {
+                if (!item) {
+                  return done(tl::unexpected(item.error()));
+                }
+                const auto record = DecodeJobRecord(job, item->value);
+                if (!record) {
+                  return done(tl::unexpected(record.error()));
+                }
+                ReadProgress(job, done);
+              });
 }
 
 void JobIntake::ReadProgress(const JobId& job,
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -337,6 +337,12 @@
 }
 
 void Owner::AddLink(const HostId& host, const std::string& address) {
+  const auto valid = net::Address::Parse(address, "address");
+  if (!valid) {
+    return LogError(
+        "host ignored: its address is invalid",
+        {{"key", store_keys::Host(host)}, {"detail", valid.error().detail}});
+  }
   auto& link = m_links[host];
   if (link && link->address() == address) {
     return;
@@ -377,14 +383,12 @@
   }
 }
 
-std::optional<JobState> Owner::StateOf(const JobId& job,
-                                       const QueueId& queue) const {
+std::optional<JobState> Owner::StateOf(const JobId& job) const {
   if (!m_loaded || !IsOwnershipConfirmed()) {
     return std::nullopt;
   }
   const auto found = m_scheduler.jobs().find(job);
-  if (found == m_scheduler.jobs().end() ||
-      found->second->record().queue != queue) {
+  if (found == m_scheduler.jobs().end()) {
     return std::nullopt;
   }
   return found->second->visible_state();
--- a/packages/site/prefix_follower.cc
+++ b/packages/site/prefix_follower.cc
@@ -15,7 +15,8 @@
 constexpr Duration kWatchWait{700};
 /// How long after the end of the wait a watch's response may arrive.
 constexpr Duration kWatchGrace{600};
-constexpr Duration kListTimeout{1000};
+/// Longer than the second after which TCP repeats a lost opening packet.
+constexpr Duration kListTimeout{1300};
 constexpr Duration kRetryDelay{150};
 /// If a response takes longer than this to receive, newer versions of its
 /// values may have been written meanwhile.
@@ -85,7 +86,7 @@
     return;
   }
   m_confirmed_at = sent_at;
-  Continue(has_changes, snapshot.received_in);
+  Continue(has_changes, snapshot.received_in, sent_at);
 }
 
 void PrefixFollower::Watch() {
@@ -114,11 +115,17 @@
     }
   }
   m_confirmed_at = sent_at;
-  Continue(!events.events.empty(), events.received_in);
+  Continue(!events.events.empty(), events.received_in, sent_at);
 }
 
-void PrefixFollower::Continue(bool has_changes, Duration received_in) {
-  const bool may_be_outdated = has_changes && received_in > kSlowResponse;
+void PrefixFollower::Continue(bool has_changes,
+                              Duration received_in,
+                              Instant sent_at) {
+  // Only a halted process or a late event loop makes a call take this long.
+  const bool handled_late =
+      m_clock.Now() - sent_at - received_in > kWatchWait + kWatchGrace;
+  const bool may_be_outdated =
+      handled_late || (has_changes && received_in > kSlowResponse);
   if (may_be_outdated && m_catch_up == CatchUp::kByListing) {
     return List();
   }
@@ -127,11 +134,12 @@
 
 void PrefixFollower::RetryLater(const Error& error) {
   if (error.code == ErrorCode::kPreconditionFailed) {
-    LogInfo(
-        "store no longer keeps the history since the last watch; listing again",
-        {{"prefix", m_prefix}});
+    LogInfo("watch cannot continue; listing again",
+            {{"prefix", m_prefix}, {"detail", error.detail}});
     m_synchronized = false;
   } else {
+    // A watch would return all versions written while the store was away.
+    m_synchronized = m_synchronized && m_catch_up == CatchUp::kByChanges;
     ReportHealth(false);
   }
   m_retry.After(kRetryDelay, [this] { m_synchronized ? Watch() : List(); });
--- a/packages/site/prefix_follower.h
+++ b/packages/site/prefix_follower.h
@@ -20,19 +20,21 @@
 
 /// Follows all keys with one prefix. It lists them first, then watches for
 /// changes, and lists again whenever the store no longer keeps the history that
-/// a watch needs. Failed calls are repeated after a delay.
+/// a watch needs or the changes are too large for one response. Failed calls
+/// are repeated after a delay.
 ///
 /// `CatchUp::kByListing` serves large values that are rewritten often and read
 /// over a slow link: a watch returns every version, so that the follower would
 /// fall further and further behind. With this setting a slow response is
-/// followed by listings until one contains nothing new.
+/// followed by listings until one contains nothing new, and a watch that failed
+/// or was handled late by a listing.
 class PrefixFollower final {
  public:
   using SnapshotHandler = std::function<void(const StoreSnapshot&)>;
   using EventHandler = std::function<void(const StoreEvent&)>;
   /// Called with true after each response and with false after each failed
   /// call, also if the value is the same as before. A watch that fails because
-  /// the store's history is gone is not reported.
+  /// the prefix must be listed again is not reported.
   using HealthHandler = std::function<void(bool answering)>;
 
   PrefixFollower(boost::asio::io_context& loop,
@@ -63,7 +65,8 @@
   void OnWatched(const StoreEvents& events, Instant sent_at);
   /// Lists or watches next.
   /// @param has_changes whether the last response contained a new value.
-  void Continue(bool has_changes, Duration received_in);
+  /// @param sent_at when its call was sent.
+  void Continue(bool has_changes, Duration received_in, Instant sent_at);
   void RetryLater(const Error& error);
   void ReportHealth(bool answering);
 
--- a/packages/site/store_port.h
+++ b/packages/site/store_port.h
@@ -82,7 +82,8 @@
 /// - `kOutcomeUnknown`: the call may have taken effect or may yet do so.
 /// - `kNotFound`: the key or lease does not exist.
 /// - `kPreconditionFailed` on a watch: the store no longer keeps the history
-///   since `after`; the prefix must be listed again.
+///   since `after`, or the changes since then are too large for one response;
+///   the prefix must be listed again.
 class StorePort {
  public:
   virtual ~StorePort() = default;
--- a/packages/site/tests/prefix_follower_test.cc
+++ b/packages/site/tests/prefix_follower_test.cc
@@ -15,8 +15,9 @@
  public:
   void Get(const std::string&, Duration, StoreCallback<StoreItem>) override {}
   void List(const std::string&,
-            Duration,
+            Duration timeout,
             StoreCallback<StoreSnapshot> done) override {
+    m_list_timeout = timeout;
     m_list = std::move(done);
   }
   void Watch(const std::string&,
@@ -37,6 +38,7 @@
   bool lists() const { return m_list != nullptr; }
   bool watches() const { return m_watch != nullptr; }
   std::uint64_t watched_after() const { return m_watched_after; }
+  Duration list_timeout() const { return m_list_timeout; }
 
   void AnswerList(std::uint64_t revision, Duration received_in) {
     StoreSnapshot snapshot;
@@ -58,10 +60,15 @@
     std::exchange(m_watch, nullptr)(std::move(events));
   }
 
+  void FailWatch(ErrorCode code) {
+    std::exchange(m_watch, nullptr)(Fail(code, "no response"));
+  }
+
  private:
   StoreCallback<StoreSnapshot> m_list;
   StoreCallback<StoreEvents> m_watch;
   std::uint64_t m_watched_after = 0;
+  Duration m_list_timeout{0};
 };
 
 constexpr Duration kFast{5};
@@ -141,3 +148,81 @@
   store.AnswerWatch({}, kFast);
   LONGS_EQUAL(40, follower.confirmed_at()->milliseconds);
 }
+
+/// Guards against a follower that reads every version of a large value after
+/// the store was unavailable, and is outdated for seconds more.
+TEST(PrefixFollower, ListsAfterAFailedWatch) {
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  store.FailWatch(ErrorCode::kStoreUnavailable);
+  loop.run();
+  CHECK(store.lists());
+  CHECK_FALSE(store.watches());
+  store.AnswerList(22, kFast);
+  LONGS_EQUAL(22, seen);
+  CHECK(store.watches());
+  LONGS_EQUAL(22, store.watched_after());
+}
+
+TEST(PrefixFollower, WatchesOnAfterAFailedWatchIfEveryChangeIsNeeded) {
+  PrefixFollower follower = Make(CatchUp::kByChanges);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  store.FailWatch(ErrorCode::kStoreUnavailable);
+  loop.run();
+  CHECK_FALSE(store.lists());
+  CHECK(store.watches());
+  LONGS_EQUAL(10, store.watched_after());
+}
+
+/// Guards against a process that was halted and then reads every version that
+/// was written meanwhile.
+TEST(PrefixFollower, ListsAfterAResponseThatIsHandledLate) {
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  clock.Advance(Duration(4000));
+  store.AnswerWatch({11}, kFast);
+  CHECK(store.lists());
+  CHECK_FALSE(store.watches());
+  store.AnswerList(22, kFast);
+  CHECK(store.watches());
+  clock.Advance(Duration(4000));
+  store.AnswerWatch({}, kFast);
+  CHECK(store.lists());
+  store.AnswerList(34, kFast);
+  LONGS_EQUAL(34, seen);
+  CHECK(store.watches());
+}
+
+TEST(PrefixFollower, WatchesOnAfterWaitingInVain) {
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  clock.Advance(Duration(700));
+  store.AnswerWatch({}, kFast);
+  CHECK(store.watches());
+  CHECK_FALSE(store.lists());
+}
+
+TEST(PrefixFollower, WatchesOnAfterALongListingWithoutNews) {
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  store.AnswerList(10, kFast);
+  store.AnswerWatch({11}, kSlow);
+  clock.Advance(kSlow);
+  store.AnswerList(11, kSlow);
+  CHECK(store.watches());
+  CHECK_FALSE(store.lists());
+}
+
+/// Guards against listings that fail one after another where each connection
+/// takes a second to open: TCP repeats a lost opening packet after that time.
+TEST(PrefixFollower, ListingMayWaitForARepeatedOpeningPacket) {
+  constexpr Duration kRepeatedAfter{1000};
+  constexpr Duration kRoundTrips{200};
+  PrefixFollower follower = Make(CatchUp::kByListing);
+  follower.Start();
+  CHECK(store.list_timeout() >= kRepeatedAfter + kRoundTrips);
+}
