Forget that the store could not be read once it was read

What callers would see: CONFIG, seconds after an outage or minutes later. An entry that had failed to read the store once decided requests by an old configuration at once, instead of reading the store, until a request came while the watch was on time.

Cause: the gate kept the failure without an age, the class of fault that it is there to mend.

Now a failure counts for 2 s, and not after the watch or a read was answered.

Evidence, on the code before: FailureIsForgottenOnceTheWatchAnswers and FailureIsForgottenAfterAWhile, both expected <1> but was <2>.

--- a/packages/site/configuration_gate.cc
+++ b/packages/site/configuration_gate.cc
@@ -14,6 +14,9 @@
 constexpr int kMaxAttempts = 2;
 /// Between the reads of a store that cannot be read.
 constexpr Duration kRetryInterval{200};
+/// A failure says nothing about the store after this time: nobody has tried to
+/// read it since.
+constexpr Duration kFailureExpiry{2000};
 
 }  // namespace
 
@@ -24,18 +27,17 @@
 
 void ConfigurationGate::Pass(Decision decide) {
   if (IsCurrent()) {
-    m_attempts = 0;
-    m_failed_at.reset();
     return decide(true);
   }
-  const bool retry =
-      !m_failed_at || m_clock.Now() - *m_failed_at >= kRetryInterval;
-  if (m_failed_at) {
+  if (IsUnreadable()) {
     decide(false);
   } else {
     m_waiting.push_back(std::move(decide));
   }
+  const bool retry =
+      !m_failed_at || m_clock.Now() - *m_failed_at >= kRetryInterval;
   if (retry && !m_refreshing) {
+    m_attempts = 0;
     StartRefresh();
   }
 }
@@ -53,6 +55,15 @@
   return age && *age <= m_max_age;
 }
 
+bool ConfigurationGate::IsUnreadable() const {
+  if (!m_failed_at) {
+    return false;
+  }
+  const auto confirmed_at = m_source.confirmed_at();
+  const bool read_since = confirmed_at && *confirmed_at > *m_failed_at;
+  return !read_since && m_clock.Now() - *m_failed_at < kFailureExpiry;
+}
+
 void ConfigurationGate::StartRefresh() {
   m_refreshing = true;
   ++m_attempts;
@@ -63,7 +74,6 @@
   m_refreshing = false;
   // The watch may have delivered it meanwhile.
   if (IsCurrent()) {
-    m_attempts = 0;
     m_failed_at.reset();
     return DecideWaiting();
   }
@@ -71,7 +81,7 @@
   if (m_attempts < kMaxAttempts) {
     return StartRefresh();
   }
-  if (!m_failed_at) {
+  if (!IsUnreadable()) {
     LogWarning("configuration may be outdated: the store cannot be read",
                {{"age_ms", Age().value_or(Duration(0)).count()},
                 {"answered", refreshed},
--- a/packages/site/configuration_gate.h
+++ b/packages/site/configuration_gate.h
@@ -50,6 +50,8 @@
 
  private:
   bool IsCurrent() const;
+  /// @returns whether the store could not be read lately, and was not since.
+  bool IsUnreadable() const;
   void StartRefresh();
   void OnRefreshed(bool refreshed);
   void DecideWaiting();
@@ -59,8 +61,8 @@
   const Clock& m_clock;
   std::vector<Decision> m_waiting;
   bool m_refreshing = false;
-  int m_attempts = 0;  ///< Reads since the last one that was recent enough.
-  /// When the store was found to be unreadable; nothing while it can be read.
+  int m_attempts = 0;  ///< Of the present refresh.
+  /// When the last refresh failed; nothing after one that succeeded.
   std::optional<Instant> m_failed_at;
 };
 
--- a/packages/site/tests/configuration_gate_test.cc
+++ b/packages/site/tests/configuration_gate_test.cc
@@ -130,3 +130,33 @@
   LONGS_EQUAL(1, decided);
   CHECK(decided_current);
 }
+
+/// Guards against an entry that was cut off once and never waits for the store
+/// again, because no request came while its watch answered.
+TEST(ConfigurationGate, FailureIsForgottenOnceTheWatchAnswers) {
+  clock.Advance(kMaxAge + Duration(1));
+  Pass();
+  AnswerRefresh(false, {});
+  AnswerRefresh(false, {});
+  LONGS_EQUAL(1, decided);
+  clock.Advance(Duration(1));
+  confirmed_at = clock.Now();
+  clock.Advance(kMaxAge + Duration(1));
+  Pass();
+  LONGS_EQUAL(1, decided);
+  LONGS_EQUAL(3, refreshes);
+  AnswerRefresh(true, clock.Now());
+  LONGS_EQUAL(2, decided);
+  CHECK(decided_current);
+}
+
+TEST(ConfigurationGate, FailureIsForgottenAfterAWhile) {
+  clock.Advance(kMaxAge + Duration(1));
+  Pass();
+  AnswerRefresh(false, {});
+  AnswerRefresh(false, {});
+  clock.Advance(Duration(2000));
+  Pass();
+  LONGS_EQUAL(1, decided);
+  LONGS_EQUAL(3, refreshes);
+}
