A peer refuses a relayed job whose queue its newer configuration lacks

What callers would see: an entry that has lost the store, and with it the watch of the configuration, accepts a job of a dropped queue by its old version and relays it to a peer. The peer knows the queue to be dropped and stores the job all the same; a job of a queue with a new policy is stored with the old one.

Cause: EntryNode::HandleRelayedRequest did not compare the record's policy_version with its own configuration.

Now a peer with a newer version refuses such a job with status 409, or replaces the record's policy and version by its own. The relaying entry then asks no further peer and does not commit again, because an older view would store the job. It answers 503, or 504 where an earlier commit of its own may have taken effect (a 404 would claim that no task can start). 503 and not 404: the record names the queue, not the path, and the newer version may declare the path under another id; "no such queue" would then be wrong.

Not covered: the peer's own view may be old as well; it does not pass its ConfigurationGate for relayed jobs.

--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -21,6 +21,7 @@
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 constexpr int kTimeout = 504;
@@ -167,12 +168,20 @@
     respond(net::Response{StatusOf(outcome), {}, {}});
   };
   if (const auto id = TargetSuffix(request, peer_paths::kStoreJob)) {
-    const auto record = DecodeJobRecord(JobId(*id), request.body);
+    auto record = DecodeJobRecord(JobId(*id), request.body);
     if (!record) {
       LogError("relayed job refused: its record cannot be parsed",
                {{"job", *id}, {"detail", record.error().detail}});
       return respond(net::Response{kUnavailable, {}, {}});
     }
+    if (!ApplyNewerConfiguration(*record)) {
+      LogInfo("relayed job refused: its queue is no longer declared",
+              {{"job", *id},
+               {"queue", record->queue.value()},
+               {"accepted_by_version", record->policy_version},
+               {"version", m_configuration->version}});
+      return respond(net::Response{kConflict, {}, {}});
+    }
     return m_intake->Accept(*record, deadline, false, answer);
   }
   if (const auto id = TargetSuffix(request, peer_paths::kCancelJob)) {
@@ -181,6 +190,19 @@
   respond(net::Response{kNotFound, {}, {}});
 }
 
+bool EntryNode::ApplyNewerConfiguration(JobRecord& record) const {
+  if (!m_configuration || m_configuration->version <= record.policy_version) {
+    return true;
+  }
+  const Queue* queue = m_configuration->Find(record.queue);
+  if (queue == nullptr) {
+    return false;
+  }
+  record.policy = queue->policy;
+  record.policy_version = m_configuration->version;
+  return true;
+}
+
 void EntryNode::HandleOwnerRequest(const net::Request& request,
                                    net::Responder respond) {
   if (request.target.starts_with(peer_paths::kJobStored) ||
--- a/packages/site/entry_node.h
+++ b/packages/site/entry_node.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "jobs/job_record.h"
 #include "jobs/queue.h"
 #include "net/http_server.h"
 #include "scheduling/succession.h"
@@ -69,6 +70,10 @@
   /// Serves an entry that relays a job or a cancellation it could not store.
   void HandleRelayedRequest(const net::Request& request,
                             net::Responder respond);
+  /// Replaces the policy of a job that another entry accepted, if this entry
+  /// has a newer configuration.
+  /// @returns false if that configuration does not declare the job's queue.
+  bool ApplyNewerConfiguration(JobRecord& record) const;
   void OnDirectoryChanged();
   void HandOver(const EntryId& to, const net::Responder& respond);
   /// Periodically checks whether to ask the owner to hand over to this entry.
--- a/packages/site/job_intake.cc
+++ b/packages/site/job_intake.cc
@@ -27,6 +27,7 @@
 constexpr Duration kAnswerMargin{200};
 
 constexpr int kOk = 200;
+constexpr int kConflict = 409;
 constexpr int kGone = 410;
 
 /// @returns the outcome that another entry reports with an HTTP status.
@@ -169,6 +170,9 @@
   m_peers.Post(peers[peer], change->relay_path, change->body,
                std::min(left, kRelayTimeout),
                [this, change, peer](Result<net::Response> response) {
+                 if (response && response->status == kConflict) {
+                   return FinishOutdated(change);
+                 }
                  const bool refused = response && response->status != kOk &&
                                       response->status != kGone &&
                                       response->status != 504;
@@ -193,8 +197,20 @@
     return change->retry_timer->After(kRetryDelay,
                                       [this, change] { CommitChange(change); });
   }
-  Finish(change, change->may_be_stored ? IntakeOutcome::kUnknown
-                                       : IntakeOutcome::kRefused);
+  FinishUnstored(change);
+}
+
+void JobIntake::FinishOutdated(ChangePointer change) {
+  LogInfo(
+      "storing given up: another entry has a configuration without the queue",
+      {{"job", change->job.value()}, {"may_be_stored", change->may_be_stored}});
+  FinishUnstored(std::move(change));
+}
+
+void JobIntake::FinishUnstored(ChangePointer change) {
+  const IntakeOutcome outcome =
+      change->may_be_stored ? IntakeOutcome::kUnknown : IntakeOutcome::kRefused;
+  Finish(std::move(change), outcome);
 }
 
 void JobIntake::Finish(ChangePointer change, IntakeOutcome outcome) {
--- a/packages/site/job_intake.h
+++ b/packages/site/job_intake.h
@@ -43,7 +43,8 @@
 
   /// Stores a job. If the store does not confirm it and `relay` is set, the
   /// other entries are asked in turn to store it. While the outcome is
-  /// uncertain, this is repeated until shortly before the deadline.
+  /// uncertain, this is repeated until shortly before the deadline, unless an
+  /// entry has a newer configuration without the job's queue.
   /// @param deadline when the caller stops waiting. Attempts end 200 ms before.
   /// @param relay    whether other entries may be asked to store the job.
   ///                 False for a request that was relayed to this entry.
@@ -94,6 +95,13 @@
   void Finish(ChangePointer change, IntakeOutcome outcome);
   /// Commits again if the outcome is uncertain and time is left; else finishes.
   void RetryOrFinish(ChangePointer change);
+  /// Ends the attempts because a newer configuration lacks the job's queue:
+  /// this entry and the remaining peers may have an older one and would store
+  /// it. The caller is not told that there is no such queue, because the newer
+  /// configuration may declare the path that it asked for under another id.
+  void FinishOutdated(ChangePointer change);
+  /// Finishes a change that no attempt is known to have stored.
+  void FinishUnstored(ChangePointer change);
   /// Determines the state of a job from the store.
   void ReadState(const JobId& job, std::function<void(Result<JobState>)> done);
   void ReadProgress(const JobId& job,
--- a/packages/site/peer_paths.h
+++ b/packages/site/peer_paths.h
@@ -24,7 +24,9 @@
 inline const std::string kJobState = "/owner/job-state/";
 inline const std::string kWaitingJobs = "/owner/waiting-jobs";
 /// Entry to entry: asks it to store a job (the body is its record) or a
-/// cancellation, because the store refuses requests of the sender.
+/// cancellation, because the store refuses requests of the sender. Status 409:
+/// nothing was stored, because the receiver has a newer configuration, which
+/// does not declare the job's queue.
 inline const std::string kStoreJob = "/entry/store-job/";
 inline const std::string kCancelJob = "/entry/cancel-job/";
 
