Waiting jobs are not counted by a view of the store that is older than 2.5 s

What callers would see: GET on a queue shows fewer waiting jobs than were accepted over 3 s before, while the owner's watch of the jobs is overdue and the entries that stored them could not notify it.

Cause: Owner::CountWaiting looked at the age of the ownership (up to 4 s), not at that of its view of zinniacart/work/.

Now the owner does not count by a view that was confirmed more than 2.5 s ago, and the entries answer 503. A watch waits 700 ms and its view is confirmed as of when it was sent, so two answered watches in a row stay below that; after a watch that times out (1.3 s) such requests get 503 for some 0.4 s. The same holds after a takeover whose listing took longer, until the first watch is answered. These times follow from the constants; they were not measured.

--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -19,6 +19,10 @@
 /// A renewal that takes longer may reach the store after the lease has expired.
 constexpr Duration kRenewTimeout{600};
 constexpr Duration kListTimeout{1500};
+/// Jobs are counted only by a view of the store that is younger. An accepted
+/// job must be visible after 3 s; two watches in a row that find no change take
+/// less.
+constexpr Duration kMaxWorkAge{2500};
 
 Scheduler::DecisionLog LogDecisions() {
   return [](const DecisionEvent& event) {
@@ -372,6 +376,11 @@
       m_settings.scheduler.times.max_confirmation_age);
 }
 
+bool Owner::IsWorkCurrent() const {
+  const auto confirmed_at = m_work->confirmed_at();
+  return confirmed_at && m_clock.Now() - *confirmed_at <= kMaxWorkAge;
+}
+
 void Owner::OnConfiguration(const SiteConfiguration& configuration) {
   m_scheduler.SetConfiguration(configuration);
 }
@@ -395,7 +404,7 @@
 }
 
 std::optional<std::size_t> Owner::CountWaiting(const QueueId& queue) const {
-  if (!m_loaded || !IsOwnershipConfirmed()) {
+  if (!m_loaded || !IsOwnershipConfirmed() || !IsWorkCurrent()) {
     return std::nullopt;
   }
   return m_scheduler.CountWaiting(queue);
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -82,8 +82,8 @@
   /// ownership was not confirmed recently enough, or it has no such job.
   std::optional<JobState> StateOf(const JobId& job) const;
   /// @returns how many jobs of `queue` wait for their first task; nothing if
-  /// this entry is not active or its ownership was not confirmed recently
-  /// enough.
+  /// this entry is not active, or its ownership or its view of the stored jobs
+  /// was not confirmed recently enough.
   std::optional<std::size_t> CountWaiting(const QueueId& queue) const;
 
   const Scheduler& scheduler() const { return m_scheduler; }
@@ -133,6 +133,9 @@
   /// @returns whether the ownership was confirmed recently enough to grant
   /// leases and to answer for the jobs' states.
   bool IsOwnershipConfirmed() const;
+  /// @returns whether the store has recently confirmed that this entry knows
+  /// all jobs and cancellations. Call it only while this entry is active.
+  bool IsWorkCurrent() const;
 
   boost::asio::io_context& m_loop;
   StorePort& m_store;
