A new owner places nothing before it has read the drained domains

What callers would see: an entry that starts and takes over the ownership before its listing of the operators' prefix is answered starts tasks in a domain that was evacuated long ago.

Cause: Scheduler took the absence of a list of drained domains for an empty one.

Now Owner::RunRound places only after SetDrainedDomains was called once in this process (OperatorFeed calls it after every answered listing, also with an empty set). Progress, ends and stops are written and sent as before. It cannot come back later: the flag stays over terms, so a standby that has run for a moment is not held up by it.

Evidence: packages/site/tests/owner_test.cc, an owner with a fake store and an agent on a loopback socket.

--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -387,6 +387,7 @@
 
 void Owner::SetDrainedDomains(const std::set<DomainId>& domains) {
   m_scheduler.SetDrainedDomains(domains);
+  m_drained_domains_known = true;
   if (m_loaded) {
     ScheduleRound();
   }
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -66,7 +66,8 @@
   void OnOwnershipView(const OwnershipView& view);
   /// The site has a new configuration.
   void OnConfiguration(const SiteConfiguration& configuration);
-  /// Sets the failure domains that operators have drained.
+  /// Sets the failure domains that operators have drained. Nothing is placed
+  /// before the first call.
   void SetDrainedDomains(const std::set<DomainId>& domains);
   /// An entry has stored a job or a cancellation. Callers check `active` first.
   /// @param path `peer_paths::kJobStored` or `peer_paths::kJobCancelled`,
@@ -157,6 +158,7 @@
   Timer m_store_retry;
   bool m_loaded = false;
   bool m_write_in_flight = false;
+  bool m_drained_domains_known = false;
   bool m_retired = false;
   /// Exists during a term. Callbacks hold weak pointers to it, by which they
   /// ignore results of calls from an earlier term.
--- a/packages/site/owner_rounds.cc
+++ b/packages/site/owner_rounds.cc
@@ -36,7 +36,9 @@
     return;
   }
   const Instant began = m_clock.Now();
-  m_scheduler.Place();
+  if (m_drained_domains_known) {
+    m_scheduler.Place();
+  }
   WriteProgress();
   SendPendingOrders();
   m_round_duration = m_clock.Now() - began;
--- a/packages/site/tests/owner_test.cc
+++ b/packages/site/tests/owner_test.cc
@@ -6,11 +6,15 @@
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "net/http_server.h"
+#include "scheduling/host_messages_codec.h"
 #include "site/store_keys.h"
+#include "site/timer.h"
 
 using namespace zinniacart;
 
@@ -43,9 +47,12 @@
              StoreCallback<StoreEvents> done) override {
     m_watch = std::move(done);
   }
-  void Commit(const StoreTransaction&,
+  void Commit(const StoreTransaction& transaction,
               Duration,
               StoreCallback<StoreCommit> done) override {
+    for (const StoreWrite& write : transaction.writes) {
+      written.insert(write.key);
+    }
     done(StoreCommit{true, ++m_revision, {}});
   }
   void OpenLease(Duration, Duration, StoreCallback<LeaseId> done) override {
@@ -65,12 +72,57 @@
   }
 
   std::vector<StoreItem> work;
+  std::set<std::string> written;
 
  private:
   StoreCallback<StoreEvents> m_watch;
   std::uint64_t m_revision = kListedRevision;
 };
 
+/// Answers the owner's calls as the agent of a host with a free worker.
+class Agent final {
+ public:
+  explicit Agent(boost::asio::io_context& loop)
+      : m_server(
+            loop,
+            net::ServerLimits{},
+            [this](const net::Request& request, const net::Responder& respond) {
+              Answer(request, respond);
+            }) {
+    address =
+        "127.0.0.1:" + std::to_string(m_server.Listen("127.0.0.1", 0).value());
+  }
+
+  std::string address;
+  int answers = 0;
+
+ private:
+  void Answer(const net::Request& request, const net::Responder& respond) {
+    const auto orders = DecodeHostOrders(request.body);
+    CHECK(orders.has_value());
+    HostReport report;
+    report.agent = Incarnation(1);
+    report.sequence = ++m_sequence;
+    report.list_number = m_sequence;
+    report.epoch = orders->epoch;
+    report.incarnation = WorkerIncarnation(1000);
+    report.worker_reachable = true;
+    report.listed = true;
+    WorkerFacts facts;
+    facts.worker = "worker";
+    facts.incarnation = *report.incarnation;
+    facts.domain = DomainId("domain");
+    facts.service = kService;
+    facts.capacity = Resources{4000, 64000, 0};
+    report.facts = facts;
+    respond(net::Response{200, Encode(report), {}});
+    ++answers;
+  }
+
+  net::HttpServer m_server;
+  std::uint64_t m_sequence = 0;
+};
+
 /// @returns a job that any worker of the service can run.
 JobRecord MakeJob(const std::string& id) {
   JobRecord record;
@@ -101,14 +153,16 @@
   ManualClock clock;
   boost::asio::io_context loop;
   OwnerStore store;
+  Agent agent{loop};
   PeerClients peers{loop};
   Owner owner{loop, store, peers, MakeSettings(), clock};
 
-  /// Makes `owner` the owner of a site with one waiting job.
+  /// Makes `owner` the owner of a site with one host and one waiting job.
   void Start() {
     const JobRecord record = MakeJob("job");
     store.work = {
-        StoreItem{store_keys::Job(record.id), EncodeJobRecord(record), 1}};
+        StoreItem{store_keys::Job(record.id), EncodeJobRecord(record), 1},
+        StoreItem{store_keys::Host(HostId("host")), agent.address, 2}};
     owner.Start();
     RunUntil([this] { return owner.active(); });
   }
@@ -120,6 +174,22 @@
     }
     return reached();
   }
+
+  /// Runs the loop until the owner has handled reports of the host.
+  void ReceiveReports() {
+    constexpr int kCallsAtOnce = 2;
+    CHECK(RunUntil([this] { return agent.answers > 2 * kCallsAtOnce; }));
+  }
+
+  /// Runs the loop until the owner has handled its next round. Timers of one
+  /// loop expire in order, and a round is due 6 ms after the event that needs
+  /// it.
+  void TakeRound() {
+    bool taken = false;
+    Timer timer(loop);
+    timer.After(Duration(20), [&taken] { taken = true; });
+    CHECK(RunUntil([&taken] { return taken; }));
+  }
 };
 
 TEST(OwnerView, WaitingJobsAreNotCountedByAnOldView) {
@@ -139,3 +209,14 @@
   store.AnswerWatch();
   CHECK(owner.CountWaiting(kQueue) == std::optional<std::size_t>(1));
 }
+
+/// A domain may have been drained before this entry started.
+TEST(OwnerView, NothingIsPlacedBeforeTheDrainedDomainsAreKnown) {
+  const std::string progress = store_keys::Progress(JobId("job"));
+  Start();
+  ReceiveReports();
+  TakeRound();
+  CHECK_FALSE(store.written.contains(progress));
+  owner.SetDrainedDomains({});
+  CHECK(RunUntil([&] { return store.written.contains(progress); }));
+}
