Jobs that have ended are not run again when the store's history is lost

What callers saw: jobs that had completed more than four minutes ago ran again (TWICE) after an owner's watch of the jobs had to be listed anew, because the store no longer kept the history or the changes were too large for one response.

Cause: an owner forgets a job 240 s after its end. A listing within the same term added each forgotten job as a new one, without its progress. The first write of it conflicted; the conflict was taken for an earlier write of this owner, so the present revision was adopted and the stored progress replaced.

Now the owner keeps the revision up to which the store has told it of all jobs: `as_of` of listings and the revisions of watched changes. Listed jobs that are not newer are not added. A job that the store has yet to tell of, because a notice came first or a late page had it, is pinned: it is not forgotten before the watch or a listing has told of it. The memory held by that is bounded by the time the store does not answer.

A conflict is adopted only if the store has what an attempt of this owner wrote, or nothing. Otherwise the job is held back for the term: it is not placed, its progress is not written, and its state is read from the store.

OnWriteConflict now takes the stored bytes as well. The test AWriteThatFailedIsRepeatedWithTheNewestProgress passes the bytes of the attempt that took effect, as the store does; its checks are unchanged.

--- a/packages/hosting/simulation/simulated_owner.cc
+++ b/packages/hosting/simulation/simulated_owner.cc
@@ -123,11 +123,14 @@
     const bool committed = m_store.Commit(epoch, writes);
     const bool reachable = !m_store.unavailable;
     const std::uint64_t revision = m_store.revision;
-    std::map<JobId, std::uint64_t> revisions;
+    std::map<JobId, StoredProgress> stored;
     for (const ProgressWrite& write : writes) {
       const auto found = m_store.progress.find(write.job);
-      revisions[write.job] =
-          found == m_store.progress.end() ? 0 : found->second.second;
+      if (found == m_store.progress.end()) {
+        stored[write.job] = {};
+      } else {
+        stored[write.job] = {found->second.first, found->second.second};
+      }
     }
     const bool deposed = m_store.epoch != epoch;
     m_post(m_self.value(), [=, this] {
@@ -141,7 +144,7 @@
       } else if (deposed) {
         OnDeposed();
       } else {
-        m_scheduler->OnWriteConflict(revisions);
+        m_scheduler->OnWriteConflict(stored);
       }
     });
   });
--- a/packages/scheduling/job.cc
+++ b/packages/scheduling/job.cc
@@ -313,12 +313,20 @@
 
 void Job::MarkWritten(std::uint64_t version, std::uint64_t revision) {
   m_written_version = std::max(m_written_version, version);
-  m_revision = revision;
+  SetRevision(revision);
   if (IsTerminal(m_state) && version >= m_ended_version) {
     m_written_state = m_state;
   }
 }
 
+void Job::SetRevision(std::uint64_t revision) {
+  if (revision != m_revision) {
+    // Earlier attempts require the former revision: they fail from now on.
+    m_attempts.clear();
+  }
+  m_revision = revision;
+}
+
 std::string Job::EncodeProgress() const {
   json tasks = json::array();
   // Of a job that has ended, only the tasks that may still be running are kept,
--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -155,7 +156,14 @@
   /// Records that `version` is stored, at store revision `revision`.
   void MarkWritten(std::uint64_t version, std::uint64_t revision);
   /// Sets the store revision of the progress without marking a version written.
-  void SetRevision(std::uint64_t revision) { m_revision = revision; }
+  void SetRevision(std::uint64_t revision);
+  /// Records that a write of `bytes` is attempted.
+  void NoteAttempt(const std::string& bytes) { m_attempts.insert(bytes); }
+  /// @returns whether a write of `bytes` was attempted since the revision last
+  /// changed.
+  bool HasAttempted(const std::string& bytes) const {
+    return m_attempts.contains(bytes);
+  }
 
   /// @returns the progress as the JSON text that is stored.
   std::string EncodeProgress() const;
@@ -184,6 +192,8 @@
   std::uint64_t m_written_version = 0;
   std::uint64_t m_ended_version = 0;  ///< Version in which the job ended.
   std::uint64_t m_revision = 0;
+  /// The progress that was sent to the store since the revision last changed.
+  std::set<std::string> m_attempts;
 };
 
 }  // namespace zinniacart
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -23,6 +23,8 @@
   m_dirty = {};
   m_checkpoint_dirty = {};
   m_ended_jobs.clear();
+  m_pinned.clear();
+  m_held_back.clear();
   m_suspects.clear();
   m_serving_loads.clear();
   m_siblings.Clear();
@@ -48,7 +50,7 @@
 }
 
 void Scheduler::AddJob(JobRecord record, Duration age) {
-  if (m_jobs.contains(record.id)) {
+  if (m_jobs.contains(record.id) || m_held_back.contains(record.id)) {
     return;
   }
   if (const Queue* queue = FindNewerQueue(record)) {
@@ -99,6 +101,16 @@
                                          WallClockMilliseconds());
 }
 
+void Scheduler::Pin(const JobId& id) {
+  if (m_jobs.contains(id)) {
+    m_pinned.insert(id);
+  }
+}
+
+void Scheduler::Unpin(const JobId& id) {
+  m_pinned.erase(id);
+}
+
 void Scheduler::CancelJob(const JobId& id) {
   Job* job = FindJob(id);
   if (job == nullptr || !job->active()) {
@@ -178,19 +190,41 @@
     m_load_logged_at = now;
     LogLoad();
   }
+  ForgetEndedJobs();
+}
+
+void Scheduler::ForgetEndedJobs() {
+  const Instant now = m_clock.Now();
   while (!m_ended_jobs.empty() &&
          now - m_ended_jobs.front().first > m_settings.ended_job_retention) {
-    const JobId& ended = m_ended_jobs.front().second;
-    std::erase_if(m_serving_loads, [&ended](const auto& entry) {
-      return entry.first.job == ended;
-    });
-    m_siblings.Forget(ended);
-    ForgetSuspectsOf(ended);
-    m_jobs.erase(ended);
+    const JobId ended = std::move(m_ended_jobs.front().second);
     m_ended_jobs.pop_front();
+    if (m_pinned.contains(ended)) {
+      m_ended_jobs.emplace_back(now, ended);
+    } else {
+      Forget(ended);
+    }
   }
 }
 
+void Scheduler::Forget(const JobId& id) {
+  std::erase_if(m_serving_loads,
+                [&id](const auto& entry) { return entry.first.job == id; });
+  m_siblings.Forget(id);
+  ForgetSuspectsOf(id);
+  m_pinned.erase(id);
+  m_jobs.erase(id);
+}
+
+void Scheduler::HoldBack(const JobId& id, const std::string& reason) {
+  if (Job* job = FindJob(id)) {
+    StopTasksOf(*job);
+    Forget(id);
+  }
+  m_held_back.insert(id);
+  m_log({"job held back", TaskRun{TaskKey{id}, {}}, {}, reason});
+}
+
 void Scheduler::LogLoad() {
   std::int64_t free = 0;
   std::int64_t idle = 0;
@@ -262,13 +296,14 @@
       if (!id) {
         break;
       }
-      const Job* job = FindJob(*id);
+      Job* job = FindJob(*id);
       const bool taken =
           std::any_of(writes.begin(), writes.end(),
                       [&](const auto& write) { return write.job == *id; });
       if (job != nullptr && job->dirty() && !taken) {
         writes.push_back(ProgressWrite{*id, job->EncodeProgress(),
                                        job->version(), job->revision()});
+        job->NoteAttempt(writes.back().bytes);
       }
     }
   }
@@ -306,13 +341,24 @@
   }
 }
 
-void Scheduler::OnWriteConflict(
-    const std::map<JobId, std::uint64_t>& revisions) {
-  for (const auto& [id, revision] : revisions) {
-    if (Job* job = FindJob(id)) {
-      job->SetRevision(revision);
-      MarkDirty(*job);
+void Scheduler::OnWriteConflict(const std::map<JobId, StoredProgress>& stored) {
+  for (const auto& [id, progress] : stored) {
+    Job* job = FindJob(id);
+    if (job == nullptr) {
+      continue;
+    }
+    const bool known = progress.revision == 0 ||
+                       progress.revision == job->revision() ||
+                       job->HasAttempted(progress.bytes);
+    if (!known) {
+      HoldBack(id, "its progress is stored at revision " +
+                       std::to_string(progress.revision) +
+                       " and was not read; the last known revision is " +
+                       std::to_string(job->revision()));
+      continue;
     }
+    job->SetRevision(progress.revision);
+    MarkDirty(*job);
   }
 }
 
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -35,6 +35,12 @@
   std::uint64_t revision = 0;  ///< Expected store revision.
 };
 
+/// The progress of one job as the store has it.
+struct StoredProgress {
+  std::string bytes;
+  std::uint64_t revision = 0;  ///< 0: nothing is stored.
+};
+
 /// A scheduling decision, for the log. Fields that do not apply are empty.
 struct DecisionEvent {
   const char* name;
@@ -84,6 +90,12 @@
   Result<void> RestoreProgress(const JobId& job,
                                const std::string& bytes,
                                std::uint64_t revision);
+  /// Keeps a job in memory after it has ended, until `Unpin`. The store may
+  /// still tell of a pinned job; told after it is forgotten, it would be taken
+  /// for a new one. Does nothing if the job is not known.
+  void Pin(const JobId& job);
+  /// Ends the effect of `Pin`. Does nothing if the job is not pinned.
+  void Unpin(const JobId& job);
   /// Cancels a job and orders its runs to stop. Does nothing if the job is not
   /// known or has ended.
   void CancelJob(const JobId& job);
@@ -113,10 +125,13 @@
   /// repeated.
   void OnWriteFailed(const std::vector<ProgressWrite>& writes);
   /// The writes were rejected because the store holds other revisions than
-  /// expected: an earlier write that seemed to have failed took effect. The
-  /// writes are repeated against these revisions.
-  /// @param revisions the store's current revision of each job.
-  void OnWriteConflict(const std::map<JobId, std::uint64_t>& revisions);
+  /// expected. A job of which the store has what an attempt of this owner wrote
+  /// is written again against the present revision: an earlier write that
+  /// seemed to have failed took effect. So is a job of which nothing is stored.
+  /// Any other progress was not read by this owner: its job is held back, see
+  /// `IsHeldBack`.
+  /// @param stored the store's current progress of each job.
+  void OnWriteConflict(const std::map<JobId, StoredProgress>& stored);
 
   /// @returns the hosts with pending orders that have listed their runs in this
   /// epoch and whose agents have reached their workers.
@@ -132,6 +147,10 @@
   /// @returns the state of the job that callers may see, which is never ahead
   /// of the stored progress; nothing if the job is not known.
   std::optional<JobState> StateOf(const JobId& job) const;
+  /// @returns whether the job is not scheduled in this period of ownership
+  /// because its stored progress differs from what this owner knows. It is not
+  /// among `jobs`, cannot be added, and its progress is not written.
+  bool IsHeldBack(const JobId& job) const { return m_held_back.contains(job); }
   /// @returns the number of active jobs of the queue of which no task has ever
   /// been placed.
   std::size_t CountWaiting(const QueueId& queue) const;
@@ -313,6 +332,12 @@
 
   // Jobs.
   void StopTasksOf(Job& job);
+  /// Forgets the ended jobs whose retention is over.
+  void ForgetEndedJobs();
+  void Forget(const JobId& job);
+  /// Orders the job's runs to stop, forgets it, and bars it from being added.
+  /// @param reason for the log.
+  void HoldBack(const JobId& job, const std::string& reason);
   /// Queues the job's progress to be written.
   void MarkDirty(Job& job);
   /// As `MarkDirty`, but with lower priority than the writes that starts and
@@ -354,6 +379,8 @@
   JobQueue m_checkpoint_dirty;
   /// Ended jobs and when they ended, oldest first.
   std::deque<std::pair<Instant, JobId>> m_ended_jobs;
+  std::set<JobId> m_pinned;
+  std::set<JobId> m_held_back;
 };
 
 }  // namespace zinniacart
--- a/packages/scheduling/tests/scheduler_test.cc
+++ b/packages/scheduling/tests/scheduler_test.cc
@@ -44,12 +44,49 @@
   // The write that seemed to have failed took effect, so that the store holds
   // another revision.
   harness.scheduler().TakeWrites(10);
-  harness.scheduler().OnWriteConflict({{job, 77}});
+  harness.scheduler().OnWriteConflict(
+      {{job, StoredProgress{failed[0].bytes, 77}}});
   const auto repeated = harness.scheduler().TakeWrites(10);
   LONGS_EQUAL(1, repeated.size());
   LONGS_EQUAL(77, repeated[0].revision);
 }
 
+TEST(Scheduler, ProgressThatWasNotReadIsNotReplaced) {
+  harness.AddHost("a", 4);
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  const JobId other = harness.AddJob("other", MakeStep(1, 1000));
+  harness.scheduler().Place();
+  // The outcome of the first attempt is unknown: it may have taken effect.
+  harness.scheduler().OnWriteFailed(harness.scheduler().TakeWrites(10));
+  harness.scheduler().TakeWrites(10);
+  harness.scheduler().OnWriteConflict(
+      {{job, StoredProgress{R"({"state":"completed","tasks":[]})", 77}},
+       {other, StoredProgress{{}, 0}}});
+  const auto repeated = harness.scheduler().TakeWrites(10);
+  LONGS_EQUAL(1, repeated.size());
+  CHECK(repeated[0].job == other);
+  CHECK(harness.scheduler().IsHeldBack(job));
+  CHECK_FALSE(harness.scheduler().StateOf(job).has_value());
+  // It takes no capacity, and cannot be added as a new job.
+  harness.AddJob("job", MakeStep(1, 1000));
+  harness.RunRound();
+  CHECK_FALSE(harness.scheduler().StateOf(job).has_value());
+  LONGS_EQUAL(1, harness.scheduler().hosts().at(HostId("a")).runs.size());
+}
+
+TEST(Scheduler, APinnedJobIsForgottenOnlyAfterItIsUnpinned) {
+  const JobId job = harness.AddJob("job", MakeStep(1, 1000));
+  harness.scheduler().Pin(job);
+  harness.scheduler().CancelJob(job);
+  harness.clock().Advance(Duration(240001));
+  harness.scheduler().OnTick();
+  CHECK(harness.scheduler().StateOf(job).has_value());
+  harness.scheduler().Unpin(job);
+  harness.clock().Advance(Duration(240001));
+  harness.scheduler().OnTick();
+  CHECK_FALSE(harness.scheduler().StateOf(job).has_value());
+}
+
 TEST(Scheduler, AHostIsNeverFilledBeyondItsCapacity) {
   harness.AddHost("a", 4);
   harness.AddHost("b", 2);
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -44,6 +44,11 @@
   };
 }
 
+/// @returns the job whose record `item` is.
+JobId JobOf(const StoreItem& item) {
+  return JobId(item.key.substr(store_keys::kJobPrefix.size()));
+}
+
 }  // namespace
 
 Owner::Owner(boost::asio::io_context& loop,
@@ -220,6 +225,7 @@
 void Owner::BeginTerm() {
   m_term = std::make_shared<int>(0);
   m_scheduler.Begin(m_ownership.epoch(), m_settings.self);
+  m_told_to = 0;
   m_write_in_flight = false;
   LoadProgress();
   LoadInterference();
@@ -270,9 +276,10 @@
 void Owner::OnWorkSnapshot(const StoreSnapshot& snapshot) {
   for (const StoreItem& item : snapshot.items) {
     if (item.key.starts_with(store_keys::kJobPrefix)) {
-      ApplyWorkItem(item);
+      ApplyListedJob(item, snapshot.as_of);
     }
   }
+  m_told_to = std::max(m_told_to, snapshot.as_of);
   if (m_progress) {
     RestoreLoadedProgress();
   }
@@ -301,17 +308,33 @@
 }
 
 void Owner::OnWorkEvent(const StoreEvent& event) {
-  if (!event.deleted) {
-    ApplyWorkItem(event.item);
-    ScheduleRound();
+  m_told_to = std::max(m_told_to, event.item.revision);
+  if (event.deleted) {
+    return;
+  }
+  ApplyWorkItem(event.item);
+  if (event.item.key.starts_with(store_keys::kJobPrefix)) {
+    m_scheduler.Unpin(JobOf(event.item));
+  }
+  ScheduleRound();
+}
+
+void Owner::ApplyListedJob(const StoreItem& item, std::uint64_t as_of) {
+  if (item.revision <= m_told_to) {
+    return;
+  }
+  const JobId job = JobOf(item);
+  AddStoredJob(job, item.value);
+  if (item.revision > as_of) {
+    m_scheduler.Pin(job);  // The watch tells of it once more.
+  } else {
+    m_scheduler.Unpin(job);
   }
 }
 
 void Owner::ApplyWorkItem(const StoreItem& item) {
   if (item.key.starts_with(store_keys::kJobPrefix)) {
-    OnNotice(
-        peer_paths::kJobStored + item.key.substr(store_keys::kJobPrefix.size()),
-        item.value);
+    AddStoredJob(JobOf(item), item.value);
   } else if (item.key.starts_with(store_keys::kCancelledPrefix)) {
     m_scheduler.CancelJob(
         JobId(item.key.substr(store_keys::kCancelledPrefix.size())));
@@ -326,8 +349,16 @@
     m_scheduler.CancelJob(JobId(path.substr(peer_paths::kJobCancelled.size())));
     return ScheduleRound();
   }
-  const JobId id(path.substr(peer_paths::kJobStored.size()));
-  const auto record = DecodeJobRecord(id, body);
+  const JobId job(path.substr(peer_paths::kJobStored.size()));
+  const bool known = m_scheduler.jobs().contains(job);
+  AddStoredJob(job, body);
+  if (!known) {
+    m_scheduler.Pin(job);  // The store has yet to tell of it.
+  }
+}
+
+void Owner::AddStoredJob(const JobId& id, const std::string& bytes) {
+  const auto record = DecodeJobRecord(id, bytes);
   if (!record) {
     LogError("job record cannot be decoded, job ignored",
              {{"job", id.value()}, {"detail", record.error().detail}});
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -116,6 +116,11 @@
   void OnWorkSnapshot(const StoreSnapshot& snapshot);
   void OnWorkEvent(const StoreEvent& event);
   void ApplyWorkItem(const StoreItem& item);
+  /// Applies a job from a listing, unless the store has told of it before in
+  /// this term: it may have ended and been forgotten since.
+  /// @param as_of see `StoreSnapshot::as_of`.
+  void ApplyListedJob(const StoreItem& item, std::uint64_t as_of);
+  void AddStoredJob(const JobId& job, const std::string& bytes);
   void RestoreLoadedProgress();
 
   // Running.
@@ -151,6 +156,10 @@
   std::map<HostId, std::unique_ptr<HostLink>> m_links;
   /// The stored progress, until it is restored into the scheduler.
   std::optional<StoreSnapshot> m_progress;
+  /// The store has told of all jobs up to this revision in this term. Listed
+  /// items may be newer, and others of the same age missing, since the pages of
+  /// a listing are no snapshot.
+  std::uint64_t m_told_to = 0;
   Timer m_tick_timer;
   Timer m_round_timer;
   Duration m_round_duration{0};
--- a/packages/site/owner_rounds.cc
+++ b/packages/site/owner_rounds.cc
@@ -88,20 +88,20 @@
 
 void Owner::OnProgressConflict(const std::vector<ProgressWrite>& writes,
                                const StoreCommit& commit) {
-  std::map<std::string, std::uint64_t> current;
+  std::map<std::string, StoredProgress> current;
   for (const StoreItem& item : commit.current) {
-    current[item.key] = item.revision;
+    current[item.key] = StoredProgress{item.value, item.revision};
   }
-  if (current[store_keys::kEpoch] != m_ownership.epoch_revision()) {
+  if (current[store_keys::kEpoch].revision != m_ownership.epoch_revision()) {
     return LoseOwnership("another entry has claimed the ownership");
   }
-  std::map<JobId, std::uint64_t> revisions;
+  std::map<JobId, StoredProgress> stored;
   for (const ProgressWrite& write : writes) {
-    revisions[write.job] = current[store_keys::Progress(write.job)];
+    stored[write.job] = current[store_keys::Progress(write.job)];
   }
-  LogInfo("an earlier progress write took effect, retrying",
+  LogInfo("the stored progress has other revisions, comparing",
           {{"jobs", writes.size()}});
-  m_scheduler.OnWriteConflict(revisions);
+  m_scheduler.OnWriteConflict(stored);
   ScheduleRound();
 }
 
