A job whose stored progress cannot be restored is held back

Cause: the failed restore was only logged. The job began anew, its first write conflicted, and the stored progress was replaced.

Now Scheduler::RestoreProgress holds such a job back for the term: it is not placed, cannot be added, and its progress is not written. The owner has no state for it, so that entries read the stored one. The log has the key, the revision and the reason.

A conflict whose answer lacks the item of a key is no longer taken for progress that does not exist. Each conflict is now followed by the delay of a failed write, so that a store that repeats the answer is not called in each round.

--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -66,10 +66,12 @@
                                         std::uint64_t revision) {
   Job* job = FindJob(id);
   if (job == nullptr) {
+    HoldBack(id, "its progress is stored without the job");
     return Fail(ErrorCode::kNotFound, "job " + id.value() + " is not stored");
   }
   auto restored = job->RestoreProgress(bytes, revision);
   if (!restored) {
+    HoldBack(id, restored.error().detail);
     return restored;
   }
   job->ForEachTask([&](const TaskKey& key, Task& task) {
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -86,7 +86,8 @@
   /// @param bytes    the output of `Job::EncodeProgress`.
   /// @param revision the store revision of `bytes`.
   /// @returns `kNotFound` if the job is not known, or the error of
-  ///          `Job::RestoreProgress`.
+  ///          `Job::RestoreProgress`. The job is then held back, see
+  ///          `IsHeldBack`.
   Result<void> RestoreProgress(const JobId& job,
                                const std::string& bytes,
                                std::uint64_t revision);
@@ -148,8 +149,9 @@
   /// of the stored progress; nothing if the job is not known.
   std::optional<JobState> StateOf(const JobId& job) const;
   /// @returns whether the job is not scheduled in this period of ownership
-  /// because its stored progress differs from what this owner knows. It is not
-  /// among `jobs`, cannot be added, and its progress is not written.
+  /// because its stored progress could not be restored or differs from what
+  /// this owner knows. It is not among `jobs`, cannot be added, and its
+  /// progress is not written.
   bool IsHeldBack(const JobId& job) const { return m_held_back.contains(job); }
   /// @returns the number of active jobs of the queue of which no task has ever
   /// been placed.
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -298,8 +298,10 @@
     const auto restored =
         m_scheduler.RestoreProgress(job, item.value, item.revision);
     if (!restored) {
-      LogError("stored job progress cannot be restored",
-               {{"job", job.value()}, {"detail", restored.error().detail}});
+      LogError("stored job progress cannot be restored, job held back",
+               {{"key", item.key},
+                {"revision", item.revision},
+                {"detail", restored.error().detail}});
     }
   }
   LogInfo("jobs and progress loaded", {{"epoch", m_ownership.epoch().value()},
--- a/packages/site/owner_rounds.cc
+++ b/packages/site/owner_rounds.cc
@@ -96,13 +96,23 @@
     return LoseOwnership("another entry has claimed the ownership");
   }
   std::map<JobId, StoredProgress> stored;
+  std::vector<ProgressWrite> untold;
   for (const ProgressWrite& write : writes) {
-    stored[write.job] = current[store_keys::Progress(write.job)];
+    const std::string key = store_keys::Progress(write.job);
+    const auto found = current.find(key);
+    if (found != current.end()) {
+      stored[write.job] = found->second;
+    } else {
+      untold.push_back(write);
+      LogWarning("a conflict was answered without the item of a key",
+                 {{"key", key}, {"revision", write.revision}});
+    }
   }
   LogInfo("the stored progress has other revisions, comparing",
           {{"jobs", writes.size()}});
   m_scheduler.OnWriteConflict(stored);
-  ScheduleRound();
+  m_scheduler.OnWriteFailed(untold);
+  m_store_retry.After(kWriteRetryDelay, [this] { ScheduleRound(); });
 }
 
 void Owner::SendPendingOrders() {
--- a/packages/site/tests/owner_jobs_test.cc
+++ b/packages/site/tests/owner_jobs_test.cc
@@ -32,6 +32,9 @@
   }
 
   bool watches_work() const { return m_watch != nullptr; }
+  /// From now on, the answers to failed conditions lack the progress.
+  void HideProgressInConflicts() { m_hides_progress = true; }
+  int commits() const { return m_commits; }
   int renewals() const { return m_renewals; }
   int work_listings() const { return m_work_listings; }
 
@@ -90,6 +93,7 @@
   void Commit(const StoreTransaction& transaction,
               Duration,
               StoreCallback<StoreCommit> done) override {
+    ++m_commits;
     StoreCommit commit;
     commit.committed = true;
     for (const StoreCondition& condition : transaction.conditions) {
@@ -97,7 +101,10 @@
       const StoreItem present = found == m_items.end()
                                     ? StoreItem{condition.key, {}, 0}
                                     : found->second;
-      commit.current.push_back(present);
+      if (!m_hides_progress ||
+          !condition.key.starts_with(store_keys::kProgressPrefix)) {
+        commit.current.push_back(present);
+      }
       commit.committed =
           commit.committed && present.revision == condition.revision;
     }
@@ -141,6 +148,8 @@
   std::uint64_t m_omitted_as_of = 0;
   int m_work_listings = 0;
   int m_renewals = 0;
+  int m_commits = 0;
+  bool m_hides_progress = false;
   StoreCallback<StoreEvents> m_watch;
 };
 
@@ -157,6 +166,9 @@
 }
 
 constexpr char kCompleted[] = R"({"state":"completed","tasks":[[0,0,"d"]]})";
+/// The first task was started on a host.
+constexpr char kRunning[] =
+    R"({"state":"running","tasks":[[0,0,"r",1,0,"","host",1]]})";
 constexpr Duration kPastRetention{240001};
 
 }  // namespace
@@ -213,6 +225,12 @@
     RunUntil(
         [&] { return store.work_listings() > before && store.watches_work(); });
   }
+  void RunTicks(int count) {
+    for (int tick = 0; tick < count; ++tick) {
+      clock.Advance(Duration(1000));
+      RunTick();
+    }
+  }
   bool Knows(const std::string& id) const {
     return owner.scheduler().jobs().contains(JobId(id));
   }
@@ -282,3 +300,41 @@
   ListAgain();
   CHECK_FALSE(Knows("told"));
 }
+
+TEST(Owner, AJobWhoseProgressCannotBeRestoredIsHeldBack) {
+  PutJob("empty");
+  store.Put(store_keys::Progress(JobId("empty")), "");
+  PutJob("odd");
+  store.Put(store_keys::Progress(JobId("odd")),
+            R"({"state":"running","tasks":[[0,7,"d"]]})");
+  PutJob("good");
+  store.Put(store_keys::Progress(JobId("good")), kRunning);
+  Load();
+  for (const std::string id : {"empty", "odd"}) {
+    owner.OnNotice("/owner/job-stored/" + id, EncodeJobRecord(MakeRecord(id)));
+    CHECK_FALSE(Knows(id));
+    CHECK_FALSE(owner.StateOf(JobId(id)).has_value());
+  }
+  ListAgain();
+  CHECK_FALSE(Knows("empty"));
+  CHECK_FALSE(Knows("odd"));
+  CHECK(Knows("good"));
+}
+
+/// Guards against a write that is repeated in each round, many times a second.
+TEST(Owner, AConflictWithoutTheStoredProgressIsRepeatedAfterADelay) {
+  constexpr Duration kRetryDelay{60};
+  PutJob("job");
+  store.Put(store_keys::Progress(JobId("job")), kRunning);
+  Load();
+  store.Put(store_keys::Progress(JobId("job")), kRunning);
+  store.HideProgressInConflicts();
+  const SteadyClock steady;
+  const Instant began = steady.Now();
+  // The host never reports, so that its run expires and is written.
+  clock.Advance(Duration(60000));
+  RunTicks(10);
+  const Duration elapsed = steady.Now() - began;
+  CHECK(store.commits() > 1);
+  CHECK(store.commits() <= elapsed / kRetryDelay + 2);
+}
