--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -19,6 +19,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -305,6 +306,9 @@
     except CouldNotRun as error:
         print("could not run:", error)
         code = COULD_NOT_RUN
+    except Exception:  # A fault of the script is no result.
+        traceback.print_exc()
+        code = COULD_NOT_RUN
     print({HELD: "the rule held", BROKEN: "the rule was broken"}.get(code, "no result"))
     sys.stdout.flush()
     os._exit(code)
--- a/review/harness-2/worker.py
+++ b/review/harness-2/worker.py
@@ -34,7 +34,7 @@
         self.begun = time.monotonic()
         self.works_since = None if shape.get("gang") else self.begun
         self.ended = self.how = self.stop_at = None
-        self.listed = False  # Its end was in an answered list.
+        self.noted = None  # When `last_seen` reached its end.
 
     def row(self):
         return (f"task {self.task} run {self.number} on {self.worker.name}: "
@@ -60,10 +60,12 @@
         self.lock = shared.lock
         self.control = None
         self.lose = lambda path, body: False
+        self.sheds = False  # Unhealthy: it refuses starts and has done nothing.
         self.wall_ms = lambda: int(time.time() * 1000)
         self.down_until = 0.0
         self.announced = threading.Event()
         self.life = 0
+        self.lapses = []  # When its lease lapsed.
         self._begin_life()
         worker = self
 
@@ -103,6 +105,7 @@
         self.born = self.wall_ms()
         self.token = self.lease_until = self.sequence = self.next_end = 0
         self.running, self.ends, self.barred = {}, [], {}
+        self.lapsed = True
 
     # What a case does to the worker.
 
@@ -139,6 +142,8 @@
     def answer(self, path, body, expected):
         if self.is_down():
             return None
+        if self.sheds and path == "/v1/run-start":
+            return 503, {}
         if expected and expected != "i-" + self.name:
             return 421, {"clock_ms": self.clock(), "born": self.born}
         life = self.life
@@ -177,6 +182,8 @@
         self._extend(body["deadline_ms"])
         if self.used() + shape["cpu"] > self.capacity["cpu"]:
             return 409, {"reason": "room"}
+        if current:
+            self._end(current, "stopped")
         run = Run(self, task, number, shape)
         self.running[task] = run
         self.shared.all_runs.append(run)
@@ -193,6 +200,9 @@
     def _hold(self, body):
         life = self.life
         self._extend(body.get("deadline_ms", 0))
+        for end in self.ends:
+            if end[0] <= body.get("last_seen", 0):
+                end[5].noted = time.monotonic()
         self.ends = [end for end in self.ends if end[0] > body.get("last_seen", 0)]
         until = time.monotonic() + min(body.get("wait_ms", 0), MOST_WAIT_MS) / 1000
         while not self.ends and self.life == life and time.monotonic() < until:
@@ -205,7 +215,7 @@
         run.ended, run.how = time.monotonic(), how
         del self.running[run.task]
         self.barred[run.task] = max(run.number, self.barred.get(run.task, 0))
-        self.ends.append([self.next_end, run.task, run.number, how, ""])
+        self.ends.append([self.next_end, run.task, run.number, how, "", run])
         self.shared.record(f"{self.name} ends {run.task} run {run.number}: {how}")
         self.shared.changed.notify_all()
 
@@ -223,6 +233,9 @@
                 now = time.monotonic()
                 for run in list(self.running.values()):
                     self._advance(run, now)
+                if self.clock() > self.lease_until and not self.lapsed:
+                    self.lapses.append(now)
+                self.lapsed = self.clock() > self.lease_until
 
     def _advance(self, run, now):
         if run.stop_at is not None and now >= run.stop_at:
