--- a/packages/site/configuration_gate.cc
+++ b/packages/site/configuration_gate.cc
@@ -29,6 +29,9 @@
   if (IsCurrent()) {
     return decide(true);
   }
+  if (IsStoreAway()) {
+    return decide(false);
+  }
   if (IsUnreadable()) {
     decide(false);
   } else {
@@ -64,6 +67,10 @@
   return !read_since && m_clock.Now() - *m_failed_at < kFailureExpiry;
 }
 
+bool ConfigurationGate::IsStoreAway() const {
+  return m_source.store_away && m_source.store_away();
+}
+
 void ConfigurationGate::StartRefresh() {
   m_refreshing = true;
   ++m_attempts;
@@ -78,7 +85,7 @@
     return DecideWaiting();
   }
   // A read that took longer than the allowed age proves nothing.
-  if (m_attempts < kMaxAttempts) {
+  if (m_attempts < kMaxAttempts && !IsStoreAway()) {
     return StartRefresh();
   }
   if (!IsUnreadable()) {
--- a/packages/site/configuration_gate.h
+++ b/packages/site/configuration_gate.h
@@ -35,6 +35,8 @@
     /// that the store had acknowledged, nothing if it was never read.
     std::function<std::optional<Instant>()> confirmed_at;
     Refresh refresh;
+    /// @returns whether the store is known to be away. May be empty.
+    std::function<bool()> store_away = nullptr;
   };
 
   /// @param max_age in milliseconds.
@@ -52,6 +54,7 @@
   bool IsCurrent() const;
   /// @returns whether the store could not be read lately, and was not since.
   bool IsUnreadable() const;
+  bool IsStoreAway() const;
   void StartRefresh();
   void OnRefreshed(bool refreshed);
   void DecideWaiting();
--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -13,7 +13,7 @@
 /// Deadline for storing a request that another entry relays. The attempts end
 /// `JobIntake`'s answer margin earlier, so that the reply reaches the relaying
 /// entry before its own timeout.
-constexpr Duration kRelayedRequestTimeout{600};
+constexpr Duration kRelayedRequestTimeout{900};
 
 /// Interval of the checks whether this entry should ask for the ownership.
 constexpr Duration kHandOverCheckInterval{500};
@@ -59,20 +59,21 @@
     : m_loop(loop),
       m_settings(std::move(settings)),
       m_clock(clock),
+      m_store(loop, store, m_settings.store_availability, clock),
       m_peers(loop),
       m_succession(m_settings.entry, m_settings.owner.cores, clock),
       m_hand_over_timer(loop),
       m_registration(loop,
-                     store,
+                     m_store,
                      store_keys::Entry(m_settings.entry),
                      EncodeEntryRecord(EntryRecord{m_settings.owner.address,
                                                    m_settings.owner.cores})) {
   m_owner =
-      std::make_unique<Owner>(loop, store, m_peers, m_settings.owner, clock);
-  m_intake = std::make_unique<JobIntake>(loop, store, m_peers, m_directory,
+      std::make_unique<Owner>(loop, m_store, m_peers, m_settings.owner, clock);
+  m_intake = std::make_unique<JobIntake>(loop, m_store, m_peers, m_directory,
                                          *m_owner, m_settings.entry, clock);
   m_entries_follower = std::make_unique<PrefixFollower>(
-      loop, store, store_keys::kEntriesPrefix, CatchUp::kByChanges,
+      loop, m_store, store_keys::kEntriesPrefix, CatchUp::kByChanges,
       [this](const StoreSnapshot& snapshot) {
         m_directory.OnSnapshot(snapshot);
         OnDirectoryChanged();
@@ -95,6 +96,7 @@
   if (!listening) {
     return tl::unexpected(listening.error());
   }
+  m_store.Start();
   m_entries_follower->Start();
   m_owner->Start();
   m_registration.Start();
@@ -164,8 +166,8 @@
 void EntryNode::HandleRelayedRequest(const net::Request& request,
                                      net::Responder respond) {
   const Instant deadline = m_clock.Now() + kRelayedRequestTimeout;
-  const auto answer = [respond](IntakeOutcome outcome) {
-    respond(net::Response{StatusOf(outcome), {}, {}});
+  const auto answer = [respond](const IntakeReply& reply) {
+    respond(net::Response{StatusOf(reply.outcome), {}, {}});
   };
   if (const auto id = TargetSuffix(request, peer_paths::kStoreJob)) {
     auto record = DecodeJobRecord(JobId(*id), request.body);
--- a/packages/site/entry_node.h
+++ b/packages/site/entry_node.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "intake/store_availability.h"
 #include "jobs/job_record.h"
 #include "jobs/queue.h"
 #include "net/http_server.h"
@@ -18,6 +19,7 @@
 #include "site/peer_clients.h"
 #include "site/prefix_follower.h"
 #include "site/registration.h"
+#include "site/store_monitor.h"
 #include "site/timer.h"
 
 namespace zinniacart {
@@ -28,6 +30,7 @@
   std::string ip;  ///< Local address that the peer server listens on.
   std::uint16_t peer_port = 0;  ///< Port for requests of other entries.
   OwnerSettings owner;
+  StoreAvailabilitySettings store_availability;
 };
 
 /// An entry process of a site. It accepts jobs from callers, serves the other
@@ -64,6 +67,8 @@
   }
   JobIntake& intake() { return *m_intake; }
   const Owner& owner() const { return *m_owner; }
+  /// The store, with its health. All calls of the process go through it.
+  StoreMonitor& store() { return m_store; }
 
  private:
   void HandlePeer(net::Request request, net::Responder respond);
@@ -84,6 +89,7 @@
   boost::asio::io_context& m_loop;
   const EntrySiteSettings m_settings;
   const Clock& m_clock;
+  StoreMonitor m_store;
   PeerClients m_peers;
   EntryDirectory m_directory;
   Succession m_succession;
--- a/packages/site/job_intake.cc
+++ b/packages/site/job_intake.cc
@@ -19,7 +19,15 @@
 /// Later attempts allow for a store that is slow.
 constexpr Duration kLaterCommitTimeout{900};
 constexpr Duration kRetryDelay{50};
-constexpr Duration kRelayTimeout{600};
+/// Longer than what another entry takes at most for a relayed request.
+constexpr Duration kRelayTimeout{900};
+/// Another entry asks this entry to store something only while that entry's
+/// store fails; this entry's store may fail as well and is therefore read
+/// first, unless it has answered within `kFreshAnswer`.
+constexpr Duration kRelayedReadTimeout{400};
+constexpr Duration kFreshAnswer{100};
+/// A request that waits for the store asks other entries again after this time.
+constexpr Duration kWaitForStore{300};
 constexpr Duration kOwnerTimeout{400};
 constexpr Duration kReadTimeout{700};
 /// Attempts to store end this long before the caller stops waiting, so that the
@@ -29,17 +37,7 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 constexpr int kGone = 410;
-
-/// @returns the outcome that another entry reports with an HTTP status.
-IntakeOutcome ToOutcome(int status) {
-  if (status == kOk) {
-    return IntakeOutcome::kStored;
-  }
-  if (status == kGone) {
-    return IntakeOutcome::kNotFound;
-  }
-  return IntakeOutcome::kUnknown;
-}
+constexpr int kTimeout = 504;
 
 /// @returns the state in a stored progress record, `kInvalidArgument` if it has
 /// none or an unknown one.
@@ -67,32 +65,43 @@
   std::string notice_path;
   Instant deadline;
   bool relay = false;
+  /// The job must exist: a cancellation.
+  bool needs_job = false;
+  /// The job's key was read, as far as that is necessary.
+  bool checked = false;
   /// An earlier attempt may have stored it or may yet do so.
   bool may_be_stored = false;
   int attempts = 0;
-  OutcomeCallback done;
+  /// The entries still to be asked in this round, the next one last.
+  std::vector<std::string> peers;
+  ReplyCallback done;
   std::unique_ptr<Timer> retry_timer;
 };
 
 JobIntake::JobIntake(boost::asio::io_context& loop,
-                     StorePort& store,
+                     StoreMonitor& store,
                      PeerClients& peers,
                      const EntryDirectory& directory,
                      Owner& owner,
                      EntryId self,
-                     const Clock& clock)
+                     const Clock& clock,
+                     RandomSource random)
     : m_loop(loop),
       m_store(store),
       m_peers(peers),
       m_directory(directory),
       m_owner(owner),
       m_self(std::move(self)),
-      m_clock(clock) {}
+      m_clock(clock),
+      m_random(std::move(random)),
+      m_relay_peers(clock) {
+  m_store.SetListener([this] { OnStoreHealthChanged(); });
+}
 
 void JobIntake::Accept(const JobRecord& record,
                        Instant deadline,
                        bool relay,
-                       OutcomeCallback done) {
+                       ReplyCallback done) {
   auto change = std::make_shared<Change>();
   change->job = record.id;
   change->body = EncodeJobRecord(record);
@@ -104,13 +113,13 @@
   change->deadline = deadline - kAnswerMargin;
   change->relay = relay;
   change->done = std::move(done);
-  CommitChange(std::move(change));
+  Begin(change);
 }
 
 void JobIntake::Cancel(const JobId& job,
                        Instant deadline,
                        bool relay,
-                       OutcomeCallback done) {
+                       ReplyCallback done) {
   auto change = std::make_shared<Change>();
   change->job = job;
   const std::string key = store_keys::Cancelled(job);
@@ -121,105 +130,188 @@
   change->deadline = deadline - kAnswerMargin;
   change->relay = relay;
   change->done = std::move(done);
-  m_store.Get(store_keys::Job(job), kReadTimeout,
-              [this, change](Result<StoreItem> item) {
-                if (!item && item.error().code == ErrorCode::kNotFound) {
-                  return Finish(change, IntakeOutcome::kNotFound);
-                }
-                if (!item) {
-                  return Relay(change, 0);
-                }
-                CommitChange(change);
+  change->needs_job = true;
+  Begin(change);
+}
+
+void JobIntake::Begin(const ChangePointer& change) {
+  const StoreAvailability& store = m_store.availability();
+  if (change->deadline <= m_clock.Now()) {
+    return FinishUnstored(change);
+  }
+  if (store.away()) {
+    return Relay(change);
+  }
+  if (store.silent()) {
+    return change->relay ? WaitForStore(change) : RetryOrFinish(change);
+  }
+  const bool doubtful =
+      !change->relay && store.enabled() && !store.AnsweredWithin(kFreshAnswer);
+  if (!change->checked && (change->needs_job || doubtful)) {
+    return ReadFirst(change);
+  }
+  CommitChange(change);
+}
+
+void JobIntake::ReadFirst(const ChangePointer& change) {
+  const Duration left = change->deadline - m_clock.Now();
+  const Duration timeout = change->relay ? kReadTimeout : kRelayedReadTimeout;
+  m_store.Get(store_keys::Job(change->job), std::min(left, timeout),
+              [this, change](const Result<StoreItem>& item) {
+                OnJobRead(change, item);
               });
 }
 
-void JobIntake::CommitChange(ChangePointer change) {
+void JobIntake::OnJobRead(const ChangePointer& change,
+                          const Result<StoreItem>& item) {
+  if (!item && item.error().code != ErrorCode::kNotFound) {
+    return Relay(change);
+  }
+  change->checked = true;
+  if (change->needs_job && !item) {
+    return Finish(change, IntakeOutcome::kNotFound);
+  }
+  CommitChange(change);
+}
+
+void JobIntake::CommitChange(const ChangePointer& change) {
   const Duration left = change->deadline - m_clock.Now();
   if (left.count() <= 0) {
-    return RetryOrFinish(change);
+    return FinishUnstored(change);
   }
   const Duration timeout =
       std::min(left, change->attempts++ == 0 ? kFirstCommitTimeout
                                              : kLaterCommitTimeout);
   m_store.Commit(change->transaction, timeout,
-                 [this, change](Result<StoreCommit> commit) {
+                 [this, change](const Result<StoreCommit>& commit) {
                    OnCommitted(change, commit);
                  });
 }
 
-void JobIntake::OnCommitted(ChangePointer change,
+void JobIntake::OnCommitted(const ChangePointer& change,
                             const Result<StoreCommit>& commit) {
   if (commit) {
     // If the condition failed, the key exists already: an earlier request, or
     // an earlier attempt of this one, has stored it.
     return Finish(change, IntakeOutcome::kStored);
   }
-  if (commit.error().code != ErrorCode::kOutcomeUnknown) {
-    return Relay(change, 0);
+  if (commit.error().code == ErrorCode::kOutcomeUnknown) {
+    change->may_be_stored = true;
   }
-  change->may_be_stored = true;
-  Relay(change, 0);
+  Relay(change);
 }
 
-void JobIntake::Relay(ChangePointer change, std::size_t peer) {
-  const auto peers = m_directory.PeersOf(m_self);
+void JobIntake::Relay(const ChangePointer& change) {
+  change->peers.clear();
+  if (change->relay) {
+    change->peers = m_directory.PeersOf(m_self);
+    if (m_store.availability().enabled()) {
+      change->peers = m_relay_peers.Choose(change->peers);
+    }
+    std::reverse(change->peers.begin(), change->peers.end());
+  }
+  RelayToNext(change);
+}
+
+void JobIntake::RelayToNext(const ChangePointer& change) {
   const Duration left = change->deadline - m_clock.Now();
-  if (!change->relay || peer >= peers.size() || left.count() <= 0) {
+  if (change->peers.empty() || left.count() <= 0) {
     return RetryOrFinish(change);
   }
-  m_peers.Post(peers[peer], change->relay_path, change->body,
+  const std::string peer = std::move(change->peers.back());
+  change->peers.pop_back();
+  m_peers.Post(peer, change->relay_path, change->body,
                std::min(left, kRelayTimeout),
-               [this, change, peer](Result<net::Response> response) {
-                 if (response && response->status == kConflict) {
-                   return FinishOutdated(change);
-                 }
-                 const bool refused = response && response->status != kOk &&
-                                      response->status != kGone &&
-                                      response->status != 504;
-                 if (response && !refused) {
-                   const IntakeOutcome outcome = ToOutcome(response->status);
-                   if (outcome != IntakeOutcome::kUnknown) {
-                     return Finish(change, outcome);
-                   }
-                 }
-                 if (!refused && !(!response && response.error().code ==
-                                                    ErrorCode::kUnreachable)) {
-                   change->may_be_stored = true;
-                 }
-                 Relay(change, peer + 1);
+               [this, change, peer](const Result<net::Response>& response) {
+                 OnRelayed(change, peer, response);
                });
 }
 
-void JobIntake::RetryOrFinish(ChangePointer change) {
-  if (change->may_be_stored && change->deadline - m_clock.Now() > kRetryDelay) {
-    // Only another commit shows whether an earlier attempt has stored it.
-    change->retry_timer = std::make_unique<Timer>(m_loop);
-    return change->retry_timer->After(kRetryDelay,
-                                      [this, change] { CommitChange(change); });
+void JobIntake::OnRelayed(const ChangePointer& change,
+                          const std::string& peer,
+                          const Result<net::Response>& response) {
+  if (response && response->status == kConflict) {
+    return FinishOutdated(change);
+  }
+  if (response && (response->status == kOk || response->status == kGone)) {
+    m_relay_peers.OnStored(peer);
+    return Finish(change, response->status == kOk ? IntakeOutcome::kStored
+                                                  : IntakeOutcome::kNotFound);
+  }
+  m_relay_peers.OnFailed(peer);
+  const bool had_no_effect =
+      response ? response->status != kTimeout
+               : response.error().code == ErrorCode::kUnreachable;
+  change->may_be_stored = change->may_be_stored || !had_no_effect;
+  RelayToNext(change);
+}
+
+void JobIntake::RetryOrFinish(const ChangePointer& change) {
+  if (!change->may_be_stored ||
+      change->deadline - m_clock.Now() <= kRetryDelay) {
+    return FinishUnstored(change);
+  }
+  const StoreAvailability& store = m_store.availability();
+  if (store.away() || store.silent()) {
+    return WaitForStore(change);
+  }
+  // Only another commit shows whether an earlier attempt has stored it.
+  change->retry_timer = std::make_unique<Timer>(m_loop);
+  change->retry_timer->After(kRetryDelay, [this, change] { Begin(change); });
+}
+
+void JobIntake::WaitForStore(const ChangePointer& change) {
+  m_waiting.push_back(change);
+  const Duration left = change->deadline - m_clock.Now();
+  change->retry_timer = std::make_unique<Timer>(m_loop);
+  change->retry_timer->After(std::clamp(left, Duration(0), kWaitForStore),
+                             [this, change] {
+                               std::erase(m_waiting, change);
+                               Begin(change);
+                             });
+}
+
+void JobIntake::OnStoreHealthChanged() {
+  const StoreAvailability& store = m_store.availability();
+  if (store.silent() && !store.away()) {
+    return;
+  }
+  for (const ChangePointer& change : std::exchange(m_waiting, {})) {
+    change->retry_timer->Cancel();
+    Begin(change);
   }
-  FinishUnstored(change);
 }
 
-void JobIntake::FinishOutdated(ChangePointer change) {
+void JobIntake::FinishOutdated(const ChangePointer& change) {
   LogInfo(
       "storing given up: another entry has a configuration without the queue",
       {{"job", change->job.value()}, {"may_be_stored", change->may_be_stored}});
-  FinishUnstored(std::move(change));
+  FinishUnstored(change);
 }
 
-void JobIntake::FinishUnstored(ChangePointer change) {
+void JobIntake::FinishUnstored(const ChangePointer& change) {
   const IntakeOutcome outcome =
       change->may_be_stored ? IntakeOutcome::kUnknown : IntakeOutcome::kRefused;
-  Finish(std::move(change), outcome);
+  Finish(change, outcome);
 }
 
-void JobIntake::Finish(ChangePointer change, IntakeOutcome outcome) {
+void JobIntake::Finish(const ChangePointer& change, IntakeOutcome outcome) {
   if (outcome == IntakeOutcome::kStored) {
     NotifyOwner(change->notice_path, change->body);
   }
-  if (change->done) {
-    std::exchange(change->done, nullptr)(outcome);
+  if (!change->done) {
+    return;
   }
+  const bool store_fails =
+      m_store.availability().away() || m_store.availability().silent();
+  std::exchange(change->done, nullptr)(IntakeReply{
+      outcome,
+      store_fails ? RefusalReason::kStoreAway : RefusalReason::kNotStored,
+      RetryAfter()});
+}
+
+std::chrono::seconds JobIntake::RetryAfter() const {
+  return RetryAfterOutage(m_store.availability().AwayFor(), m_random);
 }
 
 void JobIntake::NotifyOwner(const std::string& path, const std::string& body) {
@@ -266,6 +358,9 @@
 
 void JobIntake::ReadState(const JobId& job,
                           std::function<void(Result<JobState>)> done) {
+  if (m_store.availability().away()) {
+    return done(Fail(ErrorCode::kStoreUnavailable, "the store is away"));
+  }
   m_store.Get(store_keys::Job(job), kReadTimeout,
               [this, job, done](Result<StoreItem> item) {
                 if (!item) {
--- a/packages/site/job_intake.h
+++ b/packages/site/job_intake.h
@@ -1,17 +1,22 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
+#include "intake/relay_peers.h"
+#include "intake/retry_after.h"
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "site/entry_directory.h"
 #include "site/owner.h"
 #include "site/peer_clients.h"
-#include "site/store_port.h"
+#include "site/store_monitor.h"
 #include "site/timer.h"
 
 namespace zinniacart {
@@ -24,42 +29,63 @@
   kUnknown,   ///< May have been stored or may yet be; a retry is safe.
 };
 
+/// Why a request was refused.
+enum class RefusalReason {
+  kNotStored,  ///< The store did not take it, nor did another entry.
+  kStoreAway,  ///< The store is away; it was not asked.
+};
+
+/// The answer to a request to accept or cancel a job.
+struct IntakeReply {
+  IntakeOutcome outcome = IntakeOutcome::kUnknown;
+  /// The following apply to `kRefused` only.
+  RefusalReason reason = RefusalReason::kNotStored;
+  std::chrono::seconds retry_after{1};
+};
+
 /// Handles callers' requests about jobs on an entry. Accepted jobs and
 /// cancellations are written to the store, directly or through another entry,
 /// and the owner is notified. Queries are answered by the owner; a job's state
 /// is read from the store if the owner cannot tell it. No call blocks; each
 /// callback runs once, possibly before the call returns.
+///
+/// While the store is away, or so silent that a transaction would probably get
+/// no answer, no transaction is sent: one without an answer may be executed
+/// seconds later. Requests are then relayed to entries whose store may answer,
+/// or refused. Those whose transaction was sent before wait for the store's
+/// return and find out then what became of it.
 class JobIntake final {
  public:
   JobIntake(boost::asio::io_context& loop,
-            StorePort& store,
+            StoreMonitor& store,
             PeerClients& peers,
             const EntryDirectory& directory,
             Owner& owner,
             EntryId self,
-            const Clock& clock);
+            const Clock& clock,
+            RandomSource random = MakeRandomSource());
 
-  using OutcomeCallback = std::function<void(IntakeOutcome)>;
+  using ReplyCallback = std::function<void(const IntakeReply&)>;
 
-  /// Stores a job. If the store does not confirm it and `relay` is set, the
+  /// Stores a job. If the store does not confirm it and `relay` is set, some
   /// other entries are asked in turn to store it. While the outcome is
   /// uncertain, this is repeated until shortly before the deadline, unless an
   /// entry has a newer configuration without the job's queue.
   /// @param deadline when the caller stops waiting. Attempts end 200 ms before.
   /// @param relay    whether other entries may be asked to store the job.
   ///                 False for a request that was relayed to this entry.
-  /// @param done     receives the outcome, never `kNotFound`.
+  /// @param done     receives the reply, never `kNotFound`.
   void Accept(const JobRecord& record,
               Instant deadline,
               bool relay,
-              OutcomeCallback done);
+              ReplyCallback done);
 
   /// Stores the cancellation of an existing job. The parameters are those of
   /// `Accept`; `done` receives `kNotFound` if the job does not exist.
   void Cancel(const JobId& job,
               Instant deadline,
               bool relay,
-              OutcomeCallback done);
+              ReplyCallback done);
 
   /// Determines the state of a job: from the owner or, if the owner cannot
   /// tell it, from the store. The queue does not matter, because ids are unique
@@ -76,6 +102,9 @@
   void CountWaiting(const QueueId& queue,
                     std::function<void(Result<std::size_t>)> done);
 
+  /// @returns when a caller should come back that is refused now.
+  std::chrono::seconds RetryAfter() const;
+
   /// Notifies the owner of a stored job or cancellation. A lost notification
   /// only causes a short delay, because the owner also follows the store.
   /// @param path `peer_paths::kJobStored` or `kJobCancelled` with the job's id.
@@ -87,33 +116,51 @@
   struct Change;
   using ChangePointer = std::shared_ptr<Change>;
 
+  /// Sends the change to the store, or handles it as the store's health
+  /// demands.
+  void Begin(const ChangePointer& change);
+  /// Reads the job's key before the transaction.
+  void ReadFirst(const ChangePointer& change);
+  void OnJobRead(const ChangePointer& change, const Result<StoreItem>& item);
   /// Commits the change to the store once.
-  void CommitChange(ChangePointer change);
-  void OnCommitted(ChangePointer change, const Result<StoreCommit>& commit);
-  /// Asks the other entries, from number `peer` on, to store the change.
-  void Relay(ChangePointer change, std::size_t peer);
-  void Finish(ChangePointer change, IntakeOutcome outcome);
-  /// Commits again if the outcome is uncertain and time is left; else finishes.
-  void RetryOrFinish(ChangePointer change);
+  void CommitChange(const ChangePointer& change);
+  void OnCommitted(const ChangePointer& change,
+                   const Result<StoreCommit>& commit);
+  /// Asks some other entries in turn to store the change.
+  void Relay(const ChangePointer& change);
+  void RelayToNext(const ChangePointer& change);
+  void OnRelayed(const ChangePointer& change,
+                 const std::string& peer,
+                 const Result<net::Response>& response);
+  void Finish(const ChangePointer& change, IntakeOutcome outcome);
+  /// Begins again if the outcome is uncertain and time is left; else finishes.
+  void RetryOrFinish(const ChangePointer& change);
+  /// Begins again once the health of the store has changed, or after a while.
+  void WaitForStore(const ChangePointer& change);
+  /// Begins again with everything that waits for the store.
+  void OnStoreHealthChanged();
   /// Ends the attempts because a newer configuration lacks the job's queue:
   /// this entry and the remaining peers may have an older one and would store
   /// it. The caller is not told that there is no such queue, because the newer
   /// configuration may declare the path that it asked for under another id.
-  void FinishOutdated(ChangePointer change);
+  void FinishOutdated(const ChangePointer& change);
   /// Finishes a change that no attempt is known to have stored.
-  void FinishUnstored(ChangePointer change);
+  void FinishUnstored(const ChangePointer& change);
   /// Determines the state of a job from the store.
   void ReadState(const JobId& job, std::function<void(Result<JobState>)> done);
   void ReadProgress(const JobId& job,
                     std::function<void(Result<JobState>)> done);
 
   boost::asio::io_context& m_loop;
-  StorePort& m_store;
+  StoreMonitor& m_store;
   PeerClients& m_peers;
   const EntryDirectory& m_directory;
   Owner& m_owner;
   const EntryId m_self;
   const Clock& m_clock;
+  const RandomSource m_random;
+  RelayPeers m_relay_peers;
+  std::vector<ChangePointer> m_waiting;  ///< For the store.
 };
 
 }  // namespace zinniacart
--- a/packages/site/tests/configuration_gate_test.cc
+++ b/packages/site/tests/configuration_gate_test.cc
@@ -22,13 +22,15 @@
   int refreshes = 0;
   int decided = 0;
   bool decided_current = false;
+  bool store_away = false;
 
   ConfigurationGate gate{
       ConfigurationGate::Source{[this] { return confirmed_at; },
                                 [this](std::function<void(bool)> done) {
                                   ++refreshes;
                                   refresh = std::move(done);
-                                }},
+                                },
+                                [this] { return store_away; }},
       kMaxAge, clock};
 
   void Pass() {
@@ -160,3 +162,13 @@
   LONGS_EQUAL(1, decided);
   LONGS_EQUAL(3, refreshes);
 }
+
+/// A refused submission must not wait for a read of a store that is away.
+TEST(ConfigurationGate, NobodyWaitsForAStoreThatIsAway) {
+  clock.Advance(kMaxAge + Duration(1));
+  store_away = true;
+  Pass();
+  LONGS_EQUAL(1, decided);
+  CHECK_FALSE(decided_current);
+  LONGS_EQUAL(0, refreshes);
+}
--- a/packages/site/tests/entry_node_test.cc
+++ b/packages/site/tests/entry_node_test.cc
@@ -15,13 +15,18 @@
 namespace {
 
 constexpr Duration kDeadline{5000};
+constexpr Duration kReadInterval{100};
 constexpr std::chrono::seconds kPatience{10};
 const QueueId kQueue("orders");
 
 /// A store that lists the given entries and records the jobs that it stores.
 class IntakeStore final : public StorePort {
  public:
-  void Get(const std::string&, Duration, StoreCallback<StoreItem>) override {}
+  void Get(const std::string& key,
+           Duration,
+           StoreCallback<StoreItem> done) override {
+    done(Fail(failure.value_or(ErrorCode::kNotFound), key));
+  }
   void List(const std::string& prefix,
             Duration,
             StoreCallback<StoreSnapshot> done) override {
@@ -96,6 +101,8 @@
   std::vector<std::unique_ptr<EntryNode>> peers;
   std::unique_ptr<EntryNode> entry;
   std::optional<IntakeOutcome> outcome;
+  /// The entry's reads before the job; after 5 the store is known to be away.
+  int reads_before = 0;
 
   std::unique_ptr<EntryNode> Start(const std::string& name, IntakeStore& store,
                                    SiteConfiguration configuration) {
@@ -124,6 +131,10 @@
   void Submit(ErrorCode failure = ErrorCode::kStoreUnavailable) {
     lost_store.failure = failure;
     entry = Start("entry", lost_store, MakeConfiguration(3, 3));
+    for (int read = 0; read < reads_before; ++read) {
+      entry->store().Get("probe", kDeadline, [](const Result<StoreItem>&) {});
+      clock.Advance(kReadInterval);
+    }
     JobRecord record;
     record.id = JobId("job");
     record.queue = kQueue;
@@ -133,7 +144,7 @@
     record.spec.steps.front().count = 1;
     entry->intake().Accept(
         record, clock.Now() + kDeadline, true,
-        [this](IntakeOutcome decided) { outcome = decided; });
+        [this](const IntakeReply& reply) { outcome = reply.outcome; });
     const auto give_up_at = std::chrono::steady_clock::now() + kPatience;
     while (!outcome && std::chrono::steady_clock::now() < give_up_at) {
       loop.run_one_for(kPatience);
@@ -182,3 +193,24 @@
   LONGS_EQUAL(3, peer_store.stored.front().policy.priority);
   LONGS_EQUAL(3, peer_store.stored.front().policy_version);
 }
+
+/// Where the store turns some entries away, the others store for them.
+TEST(RelayedJob, PeerStoresForAnEntryWhoseStoreIsAway) {
+  AddPeer(MakeConfiguration(3, 3));
+  reads_before = 5;
+  Submit();
+  CHECK(outcome == IntakeOutcome::kStored);
+  LONGS_EQUAL(0, lost_store.job_commits);
+  LONGS_EQUAL(1, peer_store.stored.size());
+}
+
+TEST(RelayedJob, PeersWhoseStoreIsAwayTooRefuseWithoutATransaction) {
+  AddPeer(MakeConfiguration(3, 3));
+  AddPeer(MakeConfiguration(3, 3));
+  peer_store.failure = ErrorCode::kOutcomeUnknown;
+  reads_before = 5;
+  Submit();
+  CHECK(outcome == IntakeOutcome::kRefused);
+  LONGS_EQUAL(0, lost_store.job_commits);
+  LONGS_EQUAL(0, peer_store.job_commits);
+}
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,7 +1,9 @@
 """A small stand-in for the users' platform's key-value store.
 
 Speaks its published protocol: items with revisions, listings in pages, watches,
-transactions, leases. Faults are set by tests: `mode` turns callers away,
+transactions, leases. Faults are set by tests: `mode` turns callers away or leaves
+them without answers, `executes_late` carries out what was sent to a silent store
+once it is no longer silent,
 `lose_answers` carries writes out without answering, `drop_history` makes
 watches fail as after a compaction, `stall_watches` leaves watches unanswered
 while everything else is served.
@@ -32,6 +34,7 @@
         self.next_lease = 1000
         self.mode = None
         self.lose_answers = 0
+        self.executes_late = False
         self.stall_watches = False
         self.stalled_watches = 0
         threading.Thread(target=self._expire, daemon=True).start()
@@ -199,6 +202,8 @@
         if self.store.mode == "silent":
             while self.store.mode == "silent":
                 time.sleep(0.05)
+            if self.store.executes_late:
+                action(json.loads(body) if body else {})
             self.close_connection = True
             return
         status, answer = action(json.loads(body) if body else {})
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -285,6 +285,28 @@
             self.assertEqual(410, site.call("GET", QUEUE + refused)[0])
             self.assertEqual([], site.runs(refused))
 
+    def test_submissions_to_a_silent_store_are_refused_and_never_run(self):
+        """The store carries out late whatever it was sent while it was silent."""
+        with PlatformSite() as site:
+            self.completes(site, site.submit(STEPS))
+            site.store.executes_late = True
+            site.store.mode = "silent"
+            for entry in site.entries:
+                wait_for("the entry notices", lambda: "store is away" in
+                         entry.log_path.read_text())
+            refused = [character * 16 for character in "abcdef"]
+            for number, job in enumerate(refused):
+                status, _ = site.call("POST", QUEUE + job, {"spec": "0.1 500", "steps": STEPS},
+                                      entry=number % 2)
+                self.assertEqual(503, status)
+                self.assertIn(int(site.last_headers["Retry-After"]), range(1, 6))
+            site.store.mode = None
+            for entry in range(2):
+                self.completes(site, site.submit(STEPS, entry=entry), entry)
+            for job in refused:
+                self.assertEqual(410, site.call("GET", QUEUE + job)[0])
+                self.assertEqual([], site.runs(job))
+
     def test_answers_lost_by_the_store_are_found_out(self):
         with PlatformSite() as site:
             site.store.lose_answers = 4
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -115,6 +115,7 @@
         self.store_address = f"127.0.0.1:{port}"
         self.configure(1)
         self.workers, self.agents, self.entries = [], [], []
+        self.last_headers = {}
         for number in range(hosts):
             worker = platform_worker.Worker(f"w{number}", f"zone-{number}", "orders", cores)
             worker.serve()
@@ -205,6 +206,7 @@
                                 "Zinniacart-Deadline-Ms": str(int(timeout * 1000))})
             response = connection.getresponse()
             text = response.read()
+            self.last_headers = dict(response.getheaders())
             return response.status, json.loads(text) if text else {}
         finally:
             connection.close()
