--- a/packages/site/job_intake.cc
+++ b/packages/site/job_intake.cc
@@ -94,7 +94,8 @@
       m_self(std::move(self)),
       m_clock(clock),
       m_random(std::move(random)),
-      m_relay_peers(clock) {
+      m_relay_peers(clock),
+      m_recent(clock) {
   m_store.SetListener([this] { OnStoreHealthChanged(); });
 }
 
@@ -182,6 +183,7 @@
   const Duration timeout =
       std::min(left, change->attempts++ == 0 ? kFirstCommitTimeout
                                              : kLaterCommitTimeout);
+  m_recent.OnSent(change->relay_path);
   m_store.Commit(change->transaction, timeout,
                  [this, change](const Result<StoreCommit>& commit) {
                    OnCommitted(change, commit);
@@ -197,6 +199,8 @@
   }
   if (commit.error().code == ErrorCode::kOutcomeUnknown) {
     change->may_be_stored = true;
+  } else {
+    m_recent.OnRefused(change->relay_path);
   }
   Relay(change);
 }
@@ -220,6 +224,7 @@
   }
   const std::string peer = std::move(change->peers.back());
   change->peers.pop_back();
+  m_recent.OnSent(change->relay_path);
   m_peers.Post(peer, change->relay_path, change->body,
                std::min(left, kRelayTimeout),
                [this, change, peer](const Result<net::Response>& response) {
@@ -231,6 +236,7 @@
                           const std::string& peer,
                           const Result<net::Response>& response) {
   if (response && response->status == kConflict) {
+    m_recent.OnRefused(change->relay_path);
     return FinishOutdated(change);
   }
   if (response && (response->status == kOk || response->status == kGone)) {
@@ -242,7 +248,11 @@
   const bool had_no_effect =
       response ? response->status != kTimeout
                : response.error().code == ErrorCode::kUnreachable;
-  change->may_be_stored = change->may_be_stored || !had_no_effect;
+  if (had_no_effect) {
+    m_recent.OnRefused(change->relay_path);
+  } else {
+    change->may_be_stored = true;
+  }
   RelayToNext(change);
 }
 
@@ -290,13 +300,22 @@
 }
 
 void JobIntake::FinishUnstored(const ChangePointer& change) {
-  const IntakeOutcome outcome =
-      change->may_be_stored ? IntakeOutcome::kUnknown : IntakeOutcome::kRefused;
-  Finish(change, outcome);
+  // An earlier request for the same change counts as well.
+  switch (m_recent.StateOf(change->relay_path)) {
+    case RecentChanges::State::kStored:
+      return Finish(change, IntakeOutcome::kStored);
+    case RecentChanges::State::kMayBeSent:
+      return Finish(change, IntakeOutcome::kUnknown);
+    case RecentChanges::State::kNotSent:
+      break;
+  }
+  Finish(change, change->may_be_stored ? IntakeOutcome::kUnknown
+                                       : IntakeOutcome::kRefused);
 }
 
 void JobIntake::Finish(const ChangePointer& change, IntakeOutcome outcome) {
   if (outcome == IntakeOutcome::kStored) {
+    m_recent.OnStored(change->relay_path);
     NotifyOwner(change->notice_path, change->body);
   }
   if (!change->done) {
--- a/packages/site/job_intake.h
+++ b/packages/site/job_intake.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "intake/recent_changes.h"
 #include "intake/relay_peers.h"
 #include "intake/retry_after.h"
 #include "jobs/job_record.h"
@@ -160,6 +161,7 @@
   const Clock& m_clock;
   const RandomSource m_random;
   RelayPeers m_relay_peers;
+  RecentChanges m_recent;                ///< Identified by their relay paths.
   std::vector<ChangePointer> m_waiting;  ///< For the store.
 };
 
--- a/packages/site/tests/job_intake_test.cc
+++ b/packages/site/tests/job_intake_test.cc
@@ -165,6 +165,34 @@
   CHECK(reply && reply->outcome == IntakeOutcome::kUnknown);
 }
 
+/// A caller that got 504 or no answer repeats its request. What was sent for it
+/// before may still be executed, so that a 503 would be untrue.
+TEST(JobIntakeOutage, RepeatedSubmissionIsNotRefusedWhileTheFirstMayBeStored) {
+  Submit();
+  LoseStore();
+  Submit();
+  CHECK(reply && reply->outcome == IntakeOutcome::kUnknown);
+}
+
+TEST(JobIntakeOutage, RepeatedSubmissionOfAStoredJobIsStored) {
+  Submit();
+  AnswerCommit(StoreCommit{true, 1, {}});
+  LoseStore();
+  Submit();
+  CHECK(reply && reply->outcome == IntakeOutcome::kStored);
+  LONGS_EQUAL(1, store.commits);
+}
+
+TEST(JobIntakeOutage, RepetitionOfARefusedSubmissionIsRefused) {
+  Submit();
+  LoseStore();
+  AnswerCommit(Fail(ErrorCode::kStoreUnavailable, "busy"));
+  CHECK(reply && reply->outcome == IntakeOutcome::kRefused);
+  reply.reset();
+  Submit();
+  CHECK(reply && reply->outcome == IntakeOutcome::kRefused);
+}
+
 /// Requests that arrive between the begin of an outage and its notice would
 /// otherwise end with an unknown outcome.
 TEST(JobIntakeOutage, SubmissionIsHeldWhileTheStoreIsSilent) {
