--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -19,6 +19,7 @@
   m_ownership_began = m_clock.Now();
   m_polling_since.reset();
   m_jobs.clear();
+  m_finished_work.clear();
   m_hosts.clear();
   m_dirty = {};
   m_checkpoint_dirty = {};
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -21,6 +21,7 @@
 #include "scheduling/host_messages.h"
 #include "scheduling/job.h"
 #include "scheduling/placement.h"
+#include "scheduling/queue_work.h"
 #include "scheduling/run_time_model.h"
 #include "scheduling/scheduler_settings.h"
 #include "scheduling/serving_load.h"
@@ -158,6 +159,9 @@
   /// been placed.
   std::size_t CountWaiting(const QueueId& queue) const;
 
+  /// @returns the work that matters to new jobs of each declared queue.
+  std::map<QueueId, QueueWork> SummarizeWork() const;
+
   /// @returns the number of tasks that are held in memory: those of occurrences
   /// that are due and not complete.
   std::size_t CountHeldTasks() const;
@@ -276,6 +280,11 @@
   /// Records that the run has finished its task, and forgets what was learned
   /// of an occurrence that is complete with it.
   void FinishTask(Job& job, const TaskRun& finished);
+  /// Finishes the task and adds its work to `m_finished_work`.
+  void FinishAndCount(Job& job, const TaskKey& task);
+  /// @returns the core-seconds of the job's tasks that wait for capacity, and
+  /// whether the job can still meet its objective.
+  std::pair<double, bool> WaitingWorkOf(const Job& job) const;
   void LearnRunTime(const Job& job, const HostedRun& run);
   /// Quarantines the host if too many consecutive failures are its fault, see
   /// `FailuresOfHost`.
@@ -419,6 +428,8 @@
   /// incarnation that crashed.
   std::map<std::pair<HostId, WorkerIncarnation>, std::set<TaskKey>> m_suspects;
   CrashHistory m_crashes;
+  /// Core-seconds of finished tasks, by service and priority.
+  std::map<std::pair<ServiceId, int>, double> m_finished_work;
   /// Keyed by the first task of each step.
   std::map<TaskKey, ServingLoad> m_serving_loads;
   std::map<ServiceId, Headroom> m_headroom;
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -223,7 +223,7 @@
 
 void Scheduler::FinishTask(Job& job, const TaskRun& finished) {
   StopDuplicateRun(job, finished);
-  job.Finish(finished.task);
+  FinishAndCount(job, finished.task);
   const std::uint32_t occurrence = finished.task.occurrence;
   if (!job.occurrences().IsComplete(occurrence)) {
     return;
--- /dev/null
+++ b/packages/scheduling/scheduler_work.cc
@@ -0,0 +1,105 @@
+#include <algorithm>
+#include <chrono>
+
+#include "scheduling/scheduler.h"
+
+namespace zinniacart {
+namespace {
+
+/// @returns the core-seconds of the step's pending tasks.
+double PendingWork(const StepTasks& tasks,
+                   const StepSpec& step,
+                   Duration expected) {
+  const auto pending = std::count_if(
+      tasks.tasks.begin(), tasks.tasks.end(),
+      [](const Task& task) { return task.phase == TaskPhase::kPending; });
+  return static_cast<double>(pending) * step.demand.cores() *
+         std::chrono::duration<double>(expected).count();
+}
+
+}  // namespace
+
+std::map<QueueId, QueueWork> Scheduler::SummarizeWork() const {
+  struct Waiting {
+    double all = 0;
+    double in_time = 0;  ///< Of jobs that can still meet their objective.
+  };
+  std::map<std::pair<ServiceId, int>, Waiting> waiting;
+  std::map<QueueId, QueueWork> summary;
+  for (const Queue& queue : m_configuration.queues) {
+    summary[queue.id] = QueueWork{};
+  }
+  for (const auto& [id, job] : m_jobs) {
+    const QueuePolicy& policy = job->policy();
+    if (job->active()) {
+      const auto [work, in_time] = WaitingWorkOf(*job);
+      Waiting& sum = waiting[{policy.service, policy.priority}];
+      sum.all += work;
+      sum.in_time += in_time ? work : 0;
+    }
+    const auto own = summary.find(job->record().queue);
+    if (own != summary.end() && job->begun()) {
+      auto& newest = own->second.newest_begun_age;
+      const Duration age = m_clock.Now() - job->accepted();
+      newest = std::min(newest.value_or(age), age);
+    }
+  }
+  for (const Queue& queue : m_configuration.queues) {
+    QueueWork& work = summary[queue.id];
+    for (const auto& [group, sum] : waiting) {
+      if (group.first == queue.policy.service &&
+          group.second <= queue.policy.priority) {
+        const bool own = group.second == queue.policy.priority;
+        work.waiting_core_seconds += own ? sum.in_time : sum.all;
+      }
+    }
+    for (const auto& [group, finished] : m_finished_work) {
+      if (group.first == queue.policy.service &&
+          group.second <= queue.policy.priority) {
+        work.finished_core_seconds += finished;
+      }
+    }
+  }
+  return summary;
+}
+
+std::pair<double, bool> Scheduler::WaitingWorkOf(const Job& job) const {
+  const RunTimeEstimator estimate =
+      m_run_times.EstimatorFor(job.record().queue);
+  double work = 0;
+  Duration chain_left{0};
+  for (const auto& [occurrence, steps] : job.occurrences().open()) {
+    if (!IsDue(job, occurrence)) {
+      continue;
+    }
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
+      const StepSpec& declared = job.spec().steps[step];
+      if (declared.perpetual || !job.Unblocked(occurrence, step)) {
+        continue;
+      }
+      work += PendingWork(steps[step], declared, estimate(declared));
+      if (!steps[step].complete()) {
+        chain_left =
+            std::max(chain_left, ChainEstimate(job.spec(), step, estimate));
+      }
+    }
+  }
+  const auto chain =
+      static_cast<double>(LongestChainEstimate(job.spec(), estimate).count());
+  const Duration objective =
+      Duration(static_cast<std::int64_t>(job.policy().stretch * chain)) +
+      job.policy().objective;
+  const Duration age = m_clock.Now() - job.accepted();
+  return {work, age + chain_left <= objective};
+}
+
+void Scheduler::FinishAndCount(Job& job, const TaskKey& task) {
+  const RunTimeEstimator estimate =
+      m_run_times.EstimatorFor(job.record().queue);
+  const double before = job.CoreSecondsLeft(estimate);
+  job.Finish(task);
+  m_finished_work[{job.policy().service, job.policy().priority}] +=
+      before - job.CoreSecondsLeft(estimate);
+}
+
+}  // namespace zinniacart
--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -212,7 +212,8 @@
     if (m_owner->active()) {
       m_owner->OnNotice(request.target, request.body);
     }
-    return respond(net::Response{kOk, {}, {}});
+    return respond(
+        net::Response{kOk, EncodeBacklogAdvice(m_owner->Backlog()), {}});
   }
   if (const auto entry = TargetSuffix(request, peer_paths::kHandOver)) {
     return HandOver(EntryId(*entry), respond);
--- a/packages/site/job_intake.cc
+++ b/packages/site/job_intake.cc
@@ -1,11 +1,9 @@
 #include "site/job_intake.h"
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "base/json_text.h"
 #include "base/logging.h"
 #include "site/peer_paths.h"
 #include "site/store_keys.h"
@@ -39,22 +37,6 @@
 constexpr int kGone = 410;
 constexpr int kTimeout = 504;
 
-/// @returns the state in a stored progress record, `kInvalidArgument` if it has
-/// none or an unknown one.
-Result<JobState> StateOfProgress(const std::string& bytes) {
-  try {
-    return ParseJobState(ParseJson(bytes).at("state").get<std::string>());
-  } catch (const std::exception& error) {
-    return Fail(ErrorCode::kInvalidArgument, error.what(), "state");
-  }
-}
-
-/// Logs a job state that cannot be parsed; it is not returned to the caller.
-void LogUnreadable(const JobId& job, const Error& error) {
-  LogError("job state ignored: it cannot be parsed",
-           {{"job", job.value()}, {"detail", error.detail}});
-}
-
 }  // namespace
 
 struct JobIntake::Change {
@@ -67,6 +49,9 @@
   bool relay = false;
   /// The job must exist: a cancellation.
   bool needs_job = false;
+  /// Set if the job would end too late: when its caller should come back. The
+  /// job is refused unless it is stored already.
+  std::optional<std::chrono::seconds> refusal;
   /// The job's key was read, as far as that is necessary.
   bool checked = false;
   /// An earlier attempt may have stored it or may yet do so.
@@ -94,6 +79,7 @@
       m_self(std::move(self)),
       m_clock(clock),
       m_random(std::move(random)),
+      m_admission(clock),
       m_relay_peers(clock),
       m_recent(clock) {
   m_store.SetListener([this] { OnStoreHealthChanged(); });
@@ -113,6 +99,9 @@
   change->notice_path = peer_paths::kJobStored + record.id.value();
   change->deadline = deadline - kAnswerMargin;
   change->relay = relay;
+  if (relay) {
+    change->refusal = m_admission.RefusalOf(record);
+  }
   change->done = std::move(done);
   Begin(change);
 }
@@ -148,7 +137,7 @@
   }
   const bool doubtful =
       !change->relay && store.enabled() && !store.AnsweredWithin(kFreshAnswer);
-  if (!change->checked && (change->needs_job || doubtful)) {
+  if (!change->checked && (change->needs_job || doubtful || change->refusal)) {
     return ReadFirst(change);
   }
   CommitChange(change);
@@ -166,12 +155,19 @@
 void JobIntake::OnJobRead(const ChangePointer& change,
                           const Result<StoreItem>& item) {
   if (!item && item.error().code != ErrorCode::kNotFound) {
+    change->refusal.reset();
     return Relay(change);
   }
   change->checked = true;
   if (change->needs_job && !item) {
     return Finish(change, IntakeOutcome::kNotFound);
   }
+  const bool sent =
+      m_recent.StateOf(change->relay_path) != RecentChanges::State::kNotSent;
+  if (change->refusal && !item && !sent) {
+    return Finish(change, IntakeOutcome::kRefused);
+  }
+  change->refusal.reset();
   CommitChange(change);
 }
 
@@ -323,10 +319,14 @@
   }
   const bool store_fails =
       m_store.availability().away() || m_store.availability().silent();
-  std::exchange(change->done, nullptr)(IntakeReply{
-      outcome,
-      store_fails ? RefusalReason::kStoreAway : RefusalReason::kNotStored,
-      RetryAfter()});
+  IntakeReply reply{outcome, RefusalReason::kNotStored, RetryAfter()};
+  if (store_fails) {
+    reply.reason = RefusalReason::kStoreAway;
+  } else if (change->refusal) {
+    reply.reason = RefusalReason::kBacklog;
+    reply.retry_after = *change->refusal;
+  }
+  std::exchange(change->done, nullptr)(reply);
 }
 
 std::chrono::seconds JobIntake::RetryAfter() const {
@@ -335,118 +335,35 @@
 
 void JobIntake::NotifyOwner(const std::string& path, const std::string& body) {
   if (m_owner.active()) {
-    return m_owner.OnNotice(path, body);
+    m_owner.OnNotice(path, body);
+    return SetAdvice(m_owner.Backlog());
   }
   const auto& owner = m_directory.owner();
   if (!owner) {
     return;
   }
   m_peers.Post(owner->address, path, body, kOwnerTimeout,
-               [path](Result<net::Response> response) {
-                 if (!response) {
-                   LogInfo(
-                       "owner did not confirm a notification; it follows the "
-                       "store as well",
-                       {{"path", path}, {"reason", response.error().detail}});
-                 }
+               [this, path](const Result<net::Response>& response) {
+                 OnOwnerAnswered(path, response);
                });
 }
 
-void JobIntake::GetState(const JobId& job,
-                         std::function<void(Result<JobState>)> done) {
-  if (const auto state = m_owner.StateOf(job)) {
-    return done(*state);
-  }
-  const auto& owner = m_directory.owner();
-  if (m_owner.active() || !owner || owner->entry == m_self) {
-    return ReadState(job, std::move(done));
+void JobIntake::OnOwnerAnswered(const std::string& path,
+                                const Result<net::Response>& response) {
+  if (!response) {
+    return LogInfo(
+        "owner did not confirm a notification; it follows the store as well",
+        {{"path", path}, {"reason", response.error().detail}});
   }
-  m_peers.Post(owner->address, peer_paths::kJobState + job.value(), {},
-               kOwnerTimeout,
-               [this, job, done](Result<net::Response> response) {
-                 if (response && response->status == kOk) {
-                   const auto state = ParseJobState(response->body);
-                   if (state) {
-                     return done(*state);
-                   }
-                   LogUnreadable(job, state.error());
-                 }
-                 ReadState(job, done);
-               });
-}
-
-void JobIntake::ReadState(const JobId& job,
-                          std::function<void(Result<JobState>)> done) {
-  if (m_store.availability().away()) {
-    return done(Fail(ErrorCode::kStoreUnavailable, "the store is away"));
-  }
-  m_store.Get(store_keys::Job(job), kReadTimeout,
-              [this, job, done](Result<StoreItem> item) {
-                if (!item) {
-                  return done(tl::unexpected(item.error()));
-                }
-                const auto record = DecodeJobRecord(job, item->value);
-                if (!record) {
-                  return done(tl::unexpected(record.error()));
-                }
-                ReadProgress(job, done);
-              });
-}
-
-void JobIntake::ReadProgress(const JobId& job,
-                             std::function<void(Result<JobState>)> done) {
-  m_store.Get(store_keys::Progress(job), kReadTimeout,
-              [this, job, done](Result<StoreItem> progress) {
-                JobState state = JobState::kQueued;
-                if (progress) {
-                  const auto stored = StateOfProgress(progress->value);
-                  if (!stored) {
-                    LogUnreadable(job, stored.error());
-                    return done(tl::unexpected(stored.error()));
-                  }
-                  state = *stored;
-                } else if (progress.error().code != ErrorCode::kNotFound) {
-                  return done(tl::unexpected(progress.error()));
-                }
-                if (IsTerminal(state)) {
-                  return done(state);
-                }
-                m_store.Get(
-                    store_keys::Cancelled(job), kReadTimeout,
-                    [state, done](Result<StoreItem> cancelled) {
-                      if (cancelled) {
-                        return done(JobState::kCancelled);
-                      }
-                      if (cancelled.error().code != ErrorCode::kNotFound) {
-                        return done(tl::unexpected(cancelled.error()));
-                      }
-                      done(state);
-                    });
-              });
-}
-
-void JobIntake::CountWaiting(const QueueId& queue,
-                             std::function<void(Result<std::size_t>)> done) {
-  if (const auto count = m_owner.CountWaiting(queue)) {
-    return done(*count);
+  if (response->status != kOk) {
+    return;
   }
-  const auto& owner = m_directory.owner();
-  if (!owner || owner->entry == m_self) {
-    return done(Fail(ErrorCode::kStoreUnavailable, "no owner is known"));
+  auto advice = DecodeBacklogAdvice(response->body);
+  if (!advice) {
+    return LogWarning("the owner's advice is ignored: it cannot be parsed",
+                      {{"detail", advice.error().detail}});
   }
-  m_peers.Post(owner->address, peer_paths::kWaitingJobs, queue.value(),
-               kOwnerTimeout, [done](Result<net::Response> response) {
-                 std::size_t count = 0;
-                 if (!response || response->status != kOk ||
-                     std::from_chars(
-                         response->body.data(),
-                         response->body.data() + response->body.size(), count)
-                             .ec != std::errc()) {
-                   return done(Fail(ErrorCode::kStoreUnavailable,
-                                    "the owner did not answer"));
-                 }
-                 done(count);
-               });
+  SetAdvice(std::move(*advice));
 }
 
 }  // namespace zinniacart
--- a/packages/site/job_intake.h
+++ b/packages/site/job_intake.h
@@ -6,9 +6,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
+#include "intake/admission_policy.h"
 #include "intake/recent_changes.h"
 #include "intake/relay_peers.h"
 #include "intake/retry_after.h"
@@ -34,6 +36,7 @@
 enum class RefusalReason {
   kNotStored,  ///< The store did not take it, nor did another entry.
   kStoreAway,  ///< The store is away; it was not asked.
+  kBacklog,    ///< The job would certainly end too late.
 };
 
 /// The answer to a request to accept or cancel a job.
@@ -68,7 +71,10 @@
 
   using ReplyCallback = std::function<void(const IntakeReply&)>;
 
-  /// Stores a job. If the store does not confirm it and `relay` is set, some
+  /// Stores a job. A job of a caller that would end too late by the owner's
+  /// advice is refused, once a read has shown that it is not stored.
+  ///
+  /// If the store does not confirm it and `relay` is set, some
   /// other entries are asked in turn to store it. While the outcome is
   /// uncertain, this is repeated until shortly before the deadline, unless an
   /// entry has a newer configuration without the job's queue.
@@ -106,8 +112,14 @@
   /// @returns when a caller should come back that is refused now.
   std::chrono::seconds RetryAfter() const;
 
-  /// Notifies the owner of a stored job or cancellation. A lost notification
-  /// only causes a short delay, because the owner also follows the store.
+  /// Takes the owner's newest advice which jobs to refuse.
+  void SetAdvice(BacklogAdvice advice) {
+    m_admission.SetAdvice(std::move(advice));
+  }
+
+  /// Notifies the owner of a stored job or cancellation, and takes its advice.
+  /// A lost notification only causes a short delay, because the owner also
+  /// follows the store.
   /// @param path `peer_paths::kJobStored` or `kJobCancelled` with the job's id.
   /// @param body the stored job record; empty for a cancellation.
   void NotifyOwner(const std::string& path, const std::string& body);
@@ -138,6 +150,8 @@
   void RetryOrFinish(const ChangePointer& change);
   /// Begins again once the health of the store has changed, or after a while.
   void WaitForStore(const ChangePointer& change);
+  void OnOwnerAnswered(const std::string& path,
+                       const Result<net::Response>& response);
   /// Begins again with everything that waits for the store.
   void OnStoreHealthChanged();
   /// Ends the attempts because a newer configuration lacks the job's queue:
@@ -160,6 +174,7 @@
   const EntryId m_self;
   const Clock& m_clock;
   const RandomSource m_random;
+  AdmissionPolicy m_admission;
   RelayPeers m_relay_peers;
   RecentChanges m_recent;                ///< Identified by their relay paths.
   std::vector<ChangePointer> m_waiting;  ///< For the store.
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -64,6 +64,7 @@
       m_ownership(m_settings.self, m_settings.ownership, Duration(0), clock),
       m_scheduler(m_settings.scheduler, clock, LogDecisions()),
       m_archive(store, clock),
+      m_forecast(m_settings.backlog, clock),
       m_tick_timer(loop),
       m_round_timer(loop),
       m_store_retry(loop) {}
@@ -78,6 +79,7 @@
     m_scheduler.OnTick();
     ScheduleRound();
     SaveInterference();
+    ObserveBacklog();
   }
   m_tick_timer.After(kTickInterval, [this] { Tick(); });
 }
@@ -227,6 +229,7 @@
   m_scheduler.Begin(m_ownership.epoch(), m_settings.self);
   m_told_to = 0;
   m_write_in_flight = false;
+  m_forecast.Reset();
   LoadProgress();
   LoadInterference();
 }
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "intake/backlog_forecast.h"
 #include "scheduling/ownership.h"
 #include "scheduling/scheduler.h"
 #include "site/host_link.h"
@@ -25,6 +26,7 @@
   double cores = 0;     ///< Processors that this entry may use.
   OwnershipTimes ownership;
   SchedulerSettings scheduler;
+  BacklogSettings backlog;
 };
 
 /// Runs the scheduler of the site while this entry owns the scheduling.
@@ -87,6 +89,12 @@
   /// was not confirmed recently enough.
   std::optional<std::size_t> CountWaiting(const QueueId& queue) const;
 
+  /// @returns how long new jobs will wait, by queue; nothing if this entry is
+  /// not active, or its ownership was not confirmed recently enough.
+  BacklogAdvice Backlog() const;
+  /// @returns the longest wait of `Backlog`, 0 if there is none.
+  Duration LongestPredictedWait() const;
+
   const Scheduler& scheduler() const { return m_scheduler; }
   const Ownership& ownership() const { return m_ownership; }
 
@@ -124,6 +132,9 @@
   void RestoreLoadedProgress();
 
   // Running.
+  /// Observes the queues for the forecast, if that is due.
+  void ObserveBacklog();
+  void LogBacklog(BacklogAdvice advice);
   /// Schedules the next round unless one is already scheduled.
   void ScheduleRound();
   void RunRound();
@@ -151,6 +162,8 @@
   Ownership m_ownership;
   Scheduler m_scheduler;
   InterferenceArchive m_archive;
+  BacklogForecast m_forecast;
+  BacklogAdvice m_logged_backlog;
   /// Follows jobs, cancellations and hosts in the store during a term.
   std::unique_ptr<PrefixFollower> m_work;
   std::map<HostId, std::unique_ptr<HostLink>> m_links;
--- a/packages/site/peer_paths.h
+++ b/packages/site/peer_paths.h
@@ -11,7 +11,8 @@
 /// the agent has accepted a newer owner.
 inline const std::string kHostSync = "/host/sync";
 /// Entry to owner: the job with this id was stored (the body is its record), or
-/// its cancellation was stored.
+/// its cancellation was stored. The response is the owner's advice which jobs
+/// to refuse (`EncodeBacklogAdvice`); empty: none.
 inline const std::string kJobStored = "/owner/job-stored/";
 inline const std::string kJobCancelled = "/owner/job-cancelled/";
 /// Entry to owner: asks it to hand the ownership over to the entry with this
--- a/packages/site/tests/job_intake_test.cc
+++ b/packages/site/tests/job_intake_test.cc
@@ -24,6 +24,9 @@
            Duration,
            StoreCallback<StoreItem> done) override {
     ++reads;
+    if (stored) {
+      return done(StoreItem{key, {}, 1});
+    }
     done(Fail(failure.value_or(ErrorCode::kNotFound), key));
   }
   void List(const std::string&,
@@ -45,6 +48,7 @@
   void EndLease(const LeaseId&, Duration, StoreCallback<Duration>) override {}
 
   std::optional<ErrorCode> failure;  ///< Of the reads.
+  bool stored = false;               ///< Reads find their key.
   StoreCallback<StoreCommit> commit;
   int commits = 0;
   int reads = 0;
@@ -227,3 +231,72 @@
   CHECK(reply && reply->outcome == IntakeOutcome::kRefused);
   LONGS_EQUAL(0, store.commits);
 }
+
+/// Guards against refusals of jobs that are stored or may be.
+TEST_GROUP(JobIntakeBacklog) {
+  ManualClock clock;
+  boost::asio::io_context loop;
+  OutageStore store;
+  StoreMonitor monitor{loop, store, StoreAvailabilitySettings{}, clock};
+  PeerClients peers{loop};
+  EntryDirectory directory;
+  Owner owner{loop, monitor, peers, MakeOwnerSettings(), clock};
+  JobIntake intake{loop,  monitor,          peers, directory,
+                   owner, EntryId("entry"), clock};
+  std::optional<IntakeReply> reply;
+
+  void Submit() {
+    JobRecord record;
+    record.id = kJob;
+    record.queue = QueueId("queue");
+    record.policy.objective = Duration(500);
+    record.spec.steps.resize(1);
+    intake.Accept(record, clock.Now() + kDeadline, true,
+                  [this](const IntakeReply& given) { reply = given; });
+  }
+  void Advise(int wait_ms) {
+    intake.SetAdvice({{QueueId("queue"), Duration(wait_ms)}});
+  }
+};
+
+TEST(JobIntakeBacklog, JobThatWouldEndTooLateIsRefusedWithoutATransaction) {
+  Advise(20000);
+  Submit();
+  CHECK(reply && reply->outcome == IntakeOutcome::kRefused);
+  CHECK(reply->reason == RefusalReason::kBacklog);
+  LONGS_EQUAL(9, reply->retry_after.count());
+  LONGS_EQUAL(1, store.reads);
+  LONGS_EQUAL(0, store.commits);
+}
+
+TEST(JobIntakeBacklog, WithoutAdviceNothingIsReadFirst) {
+  Submit();
+  LONGS_EQUAL(0, store.reads);
+  LONGS_EQUAL(1, store.commits);
+}
+
+/// A repeated request must not be told that its job never runs.
+TEST(JobIntakeBacklog, StoredJobIsNotRefused) {
+  store.stored = true;
+  Advise(20000);
+  Submit();
+  LONGS_EQUAL(1, store.commits);
+  std::exchange(store.commit, nullptr)(StoreCommit{false, 0, {}});
+  CHECK(reply && reply->outcome == IntakeOutcome::kStored);
+}
+
+TEST(JobIntakeBacklog, JobThatMayBeStoredByAnEarlierAttemptIsNotRefused) {
+  Submit();
+  Advise(20000);
+  Submit();
+  CHECK_FALSE(reply.has_value());
+  LONGS_EQUAL(2, store.commits);
+}
+
+TEST(JobIntakeBacklog, JobIsNotRefusedForItsBacklogWhereTheReadFails) {
+  store.failure = ErrorCode::kStoreUnavailable;
+  Advise(20000);
+  Submit();
+  CHECK(reply && reply->outcome == IntakeOutcome::kRefused);
+  CHECK(reply->reason == RefusalReason::kNotStored);
+}
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -1,6 +1,7 @@
 """Promises on the users' platform, through the real daemons and stand-ins."""
 
 import json
+import secrets
 import signal
 import socket
 import sys
@@ -307,6 +308,36 @@
                 self.assertEqual(410, site.call("GET", QUEUE + job)[0])
                 self.assertEqual([], site.runs(job))
 
+    def test_a_job_that_would_end_too_late_is_refused_and_never_runs(self):
+        """Work of a higher priority fills the site for half a minute."""
+        late = "/late/"
+        with PlatformSite() as site:
+            site.configure(2, (QUEUE, late), {late: 1})
+            wait_for("the queue is known", lambda: site.call("GET", late)[0] == 200)
+            for _ in range(60):
+                site.submit([{"count": 4, "cpu": 1000, "mem_mb": 10, "estimate_ms": 1000}],
+                            seconds=1.0)
+            accepted = []
+
+            def refused_job():
+                job = secrets.token_hex(8)
+                status, _ = site.call("POST", late + job, {"spec": "0.2 500", "steps": STEPS})
+                if status == 503:
+                    return job
+                self.assertEqual(200, status)
+                accepted.append(job)
+                time.sleep(0.3)
+                return None
+
+            refused = wait_for("a job is refused", refused_job)
+            self.assertIn(int(site.last_headers["Retry-After"]), range(1, 31))
+            wait_for("the log names the reason", lambda: "refused: backlog" in
+                     site.entries[0].log_path.read_text())
+            self.assertEqual(200, site.call("POST", late + accepted[0],
+                                            {"spec": "0.2 500", "steps": STEPS})[0])
+            self.assertEqual(410, site.call("GET", late + refused)[0])
+            self.assertEqual([], site.runs(refused))
+
     def test_answers_lost_by_the_store_are_found_out(self):
         with PlatformSite() as site:
             site.store.lose_answers = 4
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -152,12 +152,14 @@
             if node.child.poll() is None:
                 node.kill()
 
-    def configure(self, version, queues=(QUEUE,)):
+    def configure(self, version, queues=(QUEUE,), priorities=None):
+        """Declares the queues; `priorities` gives those that are not 0."""
         self.store.put("op/config", {
             "version": version,
             "routes": [{"name": f"queue-{prefix}", "host": HOST_HEADER, "prefix": prefix,
                         "kind": "unsafe", "timeout_ms": 3000, "objective_ms": 300,
-                        "priority": 0, "service": "orders", "max_attempts": 2,
+                        "priority": (priorities or {}).get(prefix, 0),
+                        "service": "orders", "max_attempts": 2,
                         "stretch": 1.5} for prefix in queues],
             "services": [{"name": "orders", "rejects_overload": True, "spare": False}],
             "limits": {}})
