--- a/packages/intake/store_availability.cc
+++ b/packages/intake/store_availability.cc
@@ -64,10 +64,11 @@
   m_answer = m_clock.Now();
   m_unanswered_since.reset();
   m_refused_since.reset();
+  m_connection_lost = false;
   Judge();
 }
 
-void StoreAvailability::OnFailed(CallId call) {
+void StoreAvailability::OnFailed(CallId call, Failure failure) {
   Advance();
   const auto found = m_pending.find(call);
   if (found == m_pending.end()) {
@@ -83,6 +84,7 @@
   } else {
     m_refused_since = m_refused_since.value_or(m_time);
     m_refused_at = m_time;
+    m_connection_lost = m_connection_lost || failure == Failure::kLost;
   }
   Judge();
 }
@@ -107,14 +109,10 @@
     return;
   }
   const Duration silence = Silence();
-  const Duration slowest = SlowestAnswer();
-  const Duration away_after = slowest > m_settings.doubt_after
-                                  ? m_settings.away_after_silence_if_slow
-                                  : m_settings.away_after_silence;
   const bool refusing = m_refused_since && m_time - *m_refused_since >
                                                m_settings.away_after_refusals;
   const Health before = m_health;
-  if (silence > away_after || refusing) {
+  if (silence > m_settings.away_after_silence || refusing) {
     m_health = Health::kAway;
   } else if (!m_unanswered_since && !m_refused_since &&
              silence <= m_settings.doubt_after) {
@@ -126,7 +124,8 @@
     m_trouble_began = m_clock.Now() - silence;
   }
   m_silent =
-      silence > std::max(m_settings.doubt_after, kUnusualFactor * slowest);
+      m_connection_lost || silence > std::max(m_settings.doubt_after,
+                                              kUnusualFactor * SlowestAnswer());
 }
 
 bool StoreAvailability::TakeProbe() {
--- a/packages/intake/store_availability.h
+++ b/packages/intake/store_availability.h
@@ -15,16 +15,14 @@
   /// An unanswered call puts the store in doubt after this time. The store
   /// usually answers within 4 ms.
   Duration doubt_after{100};
-  /// The store is away once no call has been answered for this long. A store
-  /// that is 60 times slower than usual answers within 240 ms.
-  Duration away_after_silence{500};
-  /// Replaces `away_after_silence` while the store has lately been slow. Longer
+  /// The store is away once no call has been answered for this long. Longer
   /// than the 900 ms that a repeated transaction waits for a queue at the
-  /// store.
-  Duration away_after_silence_if_slow{1000};
-  /// The store is away once it has turned calls away, the first and the last of
-  /// them this long apart, and answered none in between. One refusal alone may
-  /// be a rate limit.
+  /// store. Until then, transactions are held back (see `silent`), so that the
+  /// length of the bound delays refusals and makes no outcome unknown.
+  Duration away_after_silence{1000};
+  /// The store is away once calls were turned away or lost their connections,
+  /// the first and the last of them this long apart, and none was answered in
+  /// between. One alone may be a rate limit or a connection that was closed.
   Duration away_after_refusals{300};
   Duration probe_interval{200};
 };
@@ -62,9 +60,12 @@
   CallId OnSent(CallKind kind, Duration wait = Duration(0));
   /// The store has answered the call, whatever the answer says.
   void OnAnswered(CallId call);
-  /// The store has turned the call away, the connection failed, or no answer
-  /// came in time.
-  void OnFailed(CallId call);
+  /// The call failed.
+  enum class Failure {
+    kRefused,  ///< It had no effect: it was turned away or could not be sent.
+    kLost,     ///< The connection broke, or no answer came in time.
+  };
+  void OnFailed(CallId call, Failure failure);
   /// Judges the store by the time that has passed.
   void OnTick();
 
@@ -74,9 +75,10 @@
   bool enabled() const { return m_settings.enabled; }
   Health health() const { return m_health; }
   bool away() const { return m_health == Health::kAway; }
-  /// @returns whether a new transaction would probably get no answer: no call
-  /// has been answered for much longer than the store has lately taken. The
-  /// store is then either found to be away or answers soon.
+  /// @returns whether a new transaction would probably get no answer: a call
+  /// has lost its connection, or none has been answered for much longer than
+  /// the store has lately taken. The store is then either found to be away or
+  /// answers soon.
   bool silent() const { return m_silent; }
   /// @returns whether a call was answered within the last `period`.
   bool AnsweredWithin(Duration period) const;
@@ -112,8 +114,10 @@
   std::optional<Instant> m_answer;  ///< The newest answer, on the clock.
   Instant m_trouble_began;          ///< On the clock; while not `kAnswers`.
   std::optional<Duration> m_unanswered_since;  ///< By calls that timed out.
-  std::optional<Duration> m_refused_since;     ///< By calls turned away.
-  Duration m_refused_at{0};                    ///< The newest of these.
+  /// A call has lost its connection since the newest answer.
+  bool m_connection_lost = false;
+  std::optional<Duration> m_refused_since;  ///< By calls that ended at once.
+  Duration m_refused_at{0};                 ///< The newest of these.
   std::optional<Duration> m_probed_at;
   /// The longest answers of this and of the previous period.
   Duration m_slowest{0};
--- a/packages/site/store_monitor.cc
+++ b/packages/site/store_monitor.cc
@@ -79,7 +79,10 @@
     if (result || IsAnswer(result.error())) {
       m_availability.OnAnswered(call);
     } else {
-      m_availability.OnFailed(call);
+      m_availability.OnFailed(call,
+                              result.error().code == ErrorCode::kOutcomeUnknown
+                                  ? StoreAvailability::Failure::kLost
+                                  : StoreAvailability::Failure::kRefused);
     }
     ReportChanges();
     done(std::move(result));
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -308,6 +308,20 @@
                 self.assertEqual(410, site.call("GET", QUEUE + job)[0])
                 self.assertEqual([], site.runs(job))
 
+    def test_an_entry_that_the_store_turns_away_stores_through_another(self):
+        for mode in ("silent", "busy"):
+            with self.subTest(mode), PlatformSite() as site:
+                site.doors[0].mode = mode
+                wait_for("the entry notices", lambda: "store is away" in
+                         site.entries[0].log_path.read_text())
+                jobs = [secrets.token_hex(8) for _ in range(3)]
+                for job in jobs:
+                    self.assertEqual(200, site.call(
+                        "POST", QUEUE + job, {"spec": "0.1 500", "steps": STEPS})[0])
+                site.doors[0].mode = None
+                for job in jobs:
+                    self.completes(site, job)
+
     def test_a_job_that_would_end_too_late_is_refused_and_never_runs(self):
         """Work of a higher priority fills the site for half a minute."""
         late = "/late/"
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -116,6 +116,7 @@
         self.configure(1)
         self.workers, self.agents, self.entries = [], [], []
         self.last_headers = {}
+        self.doors = []  # The way of each entry to the store; `mode` is its fault.
         for number in range(hosts):
             worker = platform_worker.Worker(f"w{number}", f"zone-{number}", "orders", cores)
             worker.serve()
@@ -138,8 +139,12 @@
     def add_entry(self, cpu_share):
         """Starts one more entry that may use this share of a core. @returns it."""
         number = len(self.entries)
+        door = platform_store.serve(self.store)
+        self.doors.append(door.RequestHandlerClass)
         entry = Node(self, "entry", f"entry-{number}", f"zone-{number}",
-                     {"limits": {"cpu_share": cpu_share}})
+                     {"limits": {"cpu_share": cpu_share},
+                      "platform": {"address": f"127.0.0.1:{door.server_address[1]}",
+                                   "ttl_min_ms": 1000}})
         entry.start_first()
         self.entries.append(entry)
         return entry
