--- a/packages/site/job_intake.cc
+++ b/packages/site/job_intake.cc
@@ -1,11 +1,9 @@
 #include "site/job_intake.h"
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "base/json_text.h"
 #include "base/logging.h"
 #include "site/peer_paths.h"
 #include "site/store_keys.h"
@@ -19,7 +17,15 @@
 /// Later attempts allow for a store that is slow.
 constexpr Duration kLaterCommitTimeout{900};
 constexpr Duration kRetryDelay{50};
-constexpr Duration kRelayTimeout{600};
+/// Longer than what another entry takes at most for a relayed request.
+constexpr Duration kRelayTimeout{900};
+/// Another entry asks this entry to store something only while that entry's
+/// store fails; this entry's store may fail as well and is therefore read
+/// first, unless it has answered within `kFreshAnswer`.
+constexpr Duration kRelayedReadTimeout{400};
+constexpr Duration kFreshAnswer{100};
+/// A request that waits for the store asks other entries again after this time.
+constexpr Duration kWaitForStore{300};
 constexpr Duration kOwnerTimeout{400};
 constexpr Duration kReadTimeout{700};
 /// Attempts to store end this long before the caller stops waiting, so that the
@@ -29,33 +35,7 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 constexpr int kGone = 410;
-
-/// @returns the outcome that another entry reports with an HTTP status.
-IntakeOutcome ToOutcome(int status) {
-  if (status == kOk) {
-    return IntakeOutcome::kStored;
-  }
-  if (status == kGone) {
-    return IntakeOutcome::kNotFound;
-  }
-  return IntakeOutcome::kUnknown;
-}
-
-/// @returns the state in a stored progress record, `kInvalidArgument` if it has
-/// none or an unknown one.
-Result<JobState> StateOfProgress(const std::string& bytes) {
-  try {
-    return ParseJobState(ParseJson(bytes).at("state").get<std::string>());
-  } catch (const std::exception& error) {
-    return Fail(ErrorCode::kInvalidArgument, error.what(), "state");
-  }
-}
-
-/// Logs a job state that cannot be parsed; it is not returned to the caller.
-void LogUnreadable(const JobId& job, const Error& error) {
-  LogError("job state ignored: it cannot be parsed",
-           {{"job", job.value()}, {"detail", error.detail}});
-}
+constexpr int kTimeout = 504;
 
 }  // namespace
 
@@ -67,32 +47,48 @@
   std::string notice_path;
   Instant deadline;
   bool relay = false;
+  /// The job must exist: a cancellation.
+  bool needs_job = false;
+  /// Set if the job would end too late: when its caller should come back. The
+  /// job is refused unless it is stored already.
+  std::optional<std::chrono::seconds> refusal;
+  /// The job's key was read, as far as that is necessary.
+  bool checked = false;
   /// An earlier attempt may have stored it or may yet do so.
   bool may_be_stored = false;
   int attempts = 0;
-  OutcomeCallback done;
+  /// The entries still to be asked in this round, the next one last.
+  std::vector<std::string> peers;
+  ReplyCallback done;
   std::unique_ptr<Timer> retry_timer;
 };
 
 JobIntake::JobIntake(boost::asio::io_context& loop,
-                     StorePort& store,
+                     StoreMonitor& store,
                      PeerClients& peers,
                      const EntryDirectory& directory,
                      Owner& owner,
                      EntryId self,
-                     const Clock& clock)
+                     const Clock& clock,
+                     RandomSource random)
     : m_loop(loop),
       m_store(store),
       m_peers(peers),
       m_directory(directory),
       m_owner(owner),
       m_self(std::move(self)),
-      m_clock(clock) {}
+      m_clock(clock),
+      m_random(std::move(random)),
+      m_admission(clock),
+      m_relay_peers(clock),
+      m_recent(clock) {
+  m_store.SetListener([this] { OnStoreHealthChanged(); });
+}
 
 void JobIntake::Accept(const JobRecord& record,
                        Instant deadline,
                        bool relay,
-                       OutcomeCallback done) {
+                       ReplyCallback done) {
   auto change = std::make_shared<Change>();
   change->job = record.id;
   change->body = EncodeJobRecord(record);
@@ -103,14 +99,17 @@
   change->notice_path = peer_paths::kJobStored + record.id.value();
   change->deadline = deadline - kAnswerMargin;
   change->relay = relay;
+  if (relay) {
+    change->refusal = m_admission.RefusalOf(record);
+  }
   change->done = std::move(done);
-  CommitChange(std::move(change));
+  Begin(change);
 }
 
 void JobIntake::Cancel(const JobId& job,
                        Instant deadline,
                        bool relay,
-                       OutcomeCallback done) {
+                       ReplyCallback done) {
   auto change = std::make_shared<Change>();
   change->job = job;
   const std::string key = store_keys::Cancelled(job);
@@ -121,218 +120,250 @@
   change->deadline = deadline - kAnswerMargin;
   change->relay = relay;
   change->done = std::move(done);
-  m_store.Get(store_keys::Job(job), kReadTimeout,
-              [this, change](Result<StoreItem> item) {
-                if (!item && item.error().code == ErrorCode::kNotFound) {
-                  return Finish(change, IntakeOutcome::kNotFound);
-                }
-                if (!item) {
-                  return Relay(change, 0);
-                }
-                CommitChange(change);
+  change->needs_job = true;
+  Begin(change);
+}
+
+void JobIntake::Begin(const ChangePointer& change) {
+  const StoreAvailability& store = m_store.availability();
+  if (change->deadline <= m_clock.Now()) {
+    return FinishUnstored(change);
+  }
+  if (store.away()) {
+    return Relay(change);
+  }
+  if (store.silent()) {
+    return change->relay ? WaitForStore(change) : RetryOrFinish(change);
+  }
+  const bool doubtful =
+      !change->relay && store.enabled() && !store.AnsweredWithin(kFreshAnswer);
+  if (!change->checked && (change->needs_job || doubtful || change->refusal)) {
+    return ReadFirst(change);
+  }
+  CommitChange(change);
+}
+
+void JobIntake::ReadFirst(const ChangePointer& change) {
+  const Duration left = change->deadline - m_clock.Now();
+  const Duration timeout = change->relay ? kReadTimeout : kRelayedReadTimeout;
+  m_store.Get(store_keys::Job(change->job), std::min(left, timeout),
+              [this, change](const Result<StoreItem>& item) {
+                OnJobRead(change, item);
               });
 }
 
-void JobIntake::CommitChange(ChangePointer change) {
+void JobIntake::OnJobRead(const ChangePointer& change,
+                          const Result<StoreItem>& item) {
+  if (!item && item.error().code != ErrorCode::kNotFound) {
+    change->refusal.reset();
+    return Relay(change);
+  }
+  change->checked = true;
+  if (change->needs_job && !item) {
+    return Finish(change, IntakeOutcome::kNotFound);
+  }
+  const bool sent =
+      m_recent.StateOf(change->relay_path) != RecentChanges::State::kNotSent;
+  if (change->refusal && !item && !sent) {
+    return Finish(change, IntakeOutcome::kRefused);
+  }
+  change->refusal.reset();
+  CommitChange(change);
+}
+
+void JobIntake::CommitChange(const ChangePointer& change) {
   const Duration left = change->deadline - m_clock.Now();
   if (left.count() <= 0) {
-    return RetryOrFinish(change);
+    return FinishUnstored(change);
   }
   const Duration timeout =
       std::min(left, change->attempts++ == 0 ? kFirstCommitTimeout
                                              : kLaterCommitTimeout);
+  m_recent.OnSent(change->relay_path);
   m_store.Commit(change->transaction, timeout,
-                 [this, change](Result<StoreCommit> commit) {
+                 [this, change](const Result<StoreCommit>& commit) {
                    OnCommitted(change, commit);
                  });
 }
 
-void JobIntake::OnCommitted(ChangePointer change,
+void JobIntake::OnCommitted(const ChangePointer& change,
                             const Result<StoreCommit>& commit) {
   if (commit) {
     // If the condition failed, the key exists already: an earlier request, or
     // an earlier attempt of this one, has stored it.
     return Finish(change, IntakeOutcome::kStored);
   }
-  if (commit.error().code != ErrorCode::kOutcomeUnknown) {
-    return Relay(change, 0);
+  if (commit.error().code == ErrorCode::kOutcomeUnknown) {
+    change->may_be_stored = true;
+  } else {
+    m_recent.OnRefused(change->relay_path);
+  }
+  Relay(change);
+}
+
+void JobIntake::Relay(const ChangePointer& change) {
+  change->peers.clear();
+  if (change->relay) {
+    change->peers = m_directory.PeersOf(m_self);
+    if (m_store.availability().enabled()) {
+      change->peers = m_relay_peers.Choose(change->peers);
+    }
+    std::reverse(change->peers.begin(), change->peers.end());
   }
-  change->may_be_stored = true;
-  Relay(change, 0);
+  RelayToNext(change);
 }
 
-void JobIntake::Relay(ChangePointer change, std::size_t peer) {
-  const auto peers = m_directory.PeersOf(m_self);
+void JobIntake::RelayToNext(const ChangePointer& change) {
   const Duration left = change->deadline - m_clock.Now();
-  if (!change->relay || peer >= peers.size() || left.count() <= 0) {
+  if (change->peers.empty() || left.count() <= 0) {
     return RetryOrFinish(change);
   }
-  m_peers.Post(peers[peer], change->relay_path, change->body,
+  const std::string peer = std::move(change->peers.back());
+  change->peers.pop_back();
+  m_recent.OnSent(change->relay_path);
+  m_peers.Post(peer, change->relay_path, change->body,
                std::min(left, kRelayTimeout),
-               [this, change, peer](Result<net::Response> response) {
-                 if (response && response->status == kConflict) {
-                   return FinishOutdated(change);
-                 }
-                 const bool refused = response && response->status != kOk &&
-                                      response->status != kGone &&
-                                      response->status != 504;
-                 if (response && !refused) {
-                   const IntakeOutcome outcome = ToOutcome(response->status);
-                   if (outcome != IntakeOutcome::kUnknown) {
-                     return Finish(change, outcome);
-                   }
-                 }
-                 if (!refused && !(!response && response.error().code ==
-                                                    ErrorCode::kUnreachable)) {
-                   change->may_be_stored = true;
-                 }
-                 Relay(change, peer + 1);
+               [this, change, peer](const Result<net::Response>& response) {
+                 OnRelayed(change, peer, response);
                });
 }
 
-void JobIntake::RetryOrFinish(ChangePointer change) {
-  if (change->may_be_stored && change->deadline - m_clock.Now() > kRetryDelay) {
-    // Only another commit shows whether an earlier attempt has stored it.
-    change->retry_timer = std::make_unique<Timer>(m_loop);
-    return change->retry_timer->After(kRetryDelay,
-                                      [this, change] { CommitChange(change); });
+void JobIntake::OnRelayed(const ChangePointer& change,
+                          const std::string& peer,
+                          const Result<net::Response>& response) {
+  if (response && response->status == kConflict) {
+    m_recent.OnRefused(change->relay_path);
+    return FinishOutdated(change);
   }
-  FinishUnstored(change);
+  if (response && (response->status == kOk || response->status == kGone)) {
+    m_relay_peers.OnStored(peer);
+    return Finish(change, response->status == kOk ? IntakeOutcome::kStored
+                                                  : IntakeOutcome::kNotFound);
+  }
+  m_relay_peers.OnFailed(peer);
+  const bool had_no_effect =
+      response ? response->status != kTimeout
+               : response.error().code == ErrorCode::kUnreachable;
+  if (had_no_effect) {
+    m_recent.OnRefused(change->relay_path);
+  } else {
+    change->may_be_stored = true;
+  }
+  RelayToNext(change);
 }
 
-void JobIntake::FinishOutdated(ChangePointer change) {
+void JobIntake::RetryOrFinish(const ChangePointer& change) {
+  if (!change->may_be_stored ||
+      change->deadline - m_clock.Now() <= kRetryDelay) {
+    return FinishUnstored(change);
+  }
+  const StoreAvailability& store = m_store.availability();
+  if (store.away() || store.silent()) {
+    return WaitForStore(change);
+  }
+  // Only another commit shows whether an earlier attempt has stored it.
+  change->retry_timer = std::make_unique<Timer>(m_loop);
+  change->retry_timer->After(kRetryDelay, [this, change] { Begin(change); });
+}
+
+void JobIntake::WaitForStore(const ChangePointer& change) {
+  m_waiting.push_back(change);
+  const Duration left = change->deadline - m_clock.Now();
+  change->retry_timer = std::make_unique<Timer>(m_loop);
+  change->retry_timer->After(std::clamp(left, Duration(0), kWaitForStore),
+                             [this, change] {
+                               std::erase(m_waiting, change);
+                               Begin(change);
+                             });
+}
+
+void JobIntake::OnStoreHealthChanged() {
+  const StoreAvailability& store = m_store.availability();
+  if (store.silent() && !store.away()) {
+    return;
+  }
+  for (const ChangePointer& change : std::exchange(m_waiting, {})) {
+    change->retry_timer->Cancel();
+    Begin(change);
+  }
+}
+
+void JobIntake::FinishOutdated(const ChangePointer& change) {
   LogInfo(
       "storing given up: another entry has a configuration without the queue",
       {{"job", change->job.value()}, {"may_be_stored", change->may_be_stored}});
-  FinishUnstored(std::move(change));
+  FinishUnstored(change);
 }
 
-void JobIntake::FinishUnstored(ChangePointer change) {
-  const IntakeOutcome outcome =
-      change->may_be_stored ? IntakeOutcome::kUnknown : IntakeOutcome::kRefused;
-  Finish(std::move(change), outcome);
+void JobIntake::FinishUnstored(const ChangePointer& change) {
+  // An earlier request for the same change counts as well.
+  switch (m_recent.StateOf(change->relay_path)) {
+    case RecentChanges::State::kStored:
+      return Finish(change, IntakeOutcome::kStored);
+    case RecentChanges::State::kMayBeSent:
+      return Finish(change, IntakeOutcome::kUnknown);
+    case RecentChanges::State::kNotSent:
+      break;
+  }
+  Finish(change, change->may_be_stored ? IntakeOutcome::kUnknown
+                                       : IntakeOutcome::kRefused);
 }
 
-void JobIntake::Finish(ChangePointer change, IntakeOutcome outcome) {
+void JobIntake::Finish(const ChangePointer& change, IntakeOutcome outcome) {
   if (outcome == IntakeOutcome::kStored) {
+    m_recent.OnStored(change->relay_path);
     NotifyOwner(change->notice_path, change->body);
   }
-  if (change->done) {
-    std::exchange(change->done, nullptr)(outcome);
+  if (!change->done) {
+    return;
+  }
+  const bool store_fails =
+      m_store.availability().away() || m_store.availability().silent();
+  IntakeReply reply{outcome, RefusalReason::kNotStored, RetryAfter()};
+  if (store_fails) {
+    reply.reason = RefusalReason::kStoreAway;
+  } else if (change->refusal) {
+    reply.reason = RefusalReason::kBacklog;
+    reply.retry_after = *change->refusal;
   }
+  std::exchange(change->done, nullptr)(reply);
+}
+
+std::chrono::seconds JobIntake::RetryAfter() const {
+  return RetryAfterOutage(m_store.availability().AwayFor(), m_random);
 }
 
 void JobIntake::NotifyOwner(const std::string& path, const std::string& body) {
   if (m_owner.active()) {
-    return m_owner.OnNotice(path, body);
+    m_owner.OnNotice(path, body);
+    return SetAdvice(m_owner.Backlog());
   }
   const auto& owner = m_directory.owner();
   if (!owner) {
     return;
   }
   m_peers.Post(owner->address, path, body, kOwnerTimeout,
-               [path](Result<net::Response> response) {
-                 if (!response) {
-                   LogInfo(
-                       "owner did not confirm a notification; it follows the "
-                       "store as well",
-                       {{"path", path}, {"reason", response.error().detail}});
-                 }
+               [this, path](const Result<net::Response>& response) {
+                 OnOwnerAnswered(path, response);
                });
 }
 
-void JobIntake::GetState(const JobId& job,
-                         std::function<void(Result<JobState>)> done) {
-  if (const auto state = m_owner.StateOf(job)) {
-    return done(*state);
-  }
-  const auto& owner = m_directory.owner();
-  if (m_owner.active() || !owner || owner->entry == m_self) {
-    return ReadState(job, std::move(done));
+void JobIntake::OnOwnerAnswered(const std::string& path,
+                                const Result<net::Response>& response) {
+  if (!response) {
+    return LogInfo(
+        "owner did not confirm a notification; it follows the store as well",
+        {{"path", path}, {"reason", response.error().detail}});
   }
-  m_peers.Post(owner->address, peer_paths::kJobState + job.value(), {},
-               kOwnerTimeout,
-               [this, job, done](Result<net::Response> response) {
-                 if (response && response->status == kOk) {
-                   const auto state = ParseJobState(response->body);
-                   if (state) {
-                     return done(*state);
-                   }
-                   LogUnreadable(job, state.error());
-                 }
-                 ReadState(job, done);
-               });
-}
-
-void JobIntake::ReadState(const JobId& job,
-                          std::function<void(Result<JobState>)> done) {
-  m_store.Get(store_keys::Job(job), kReadTimeout,
-              [this, job, done](Result<StoreItem> item) {
-                if (!item) {
-                  return done(tl::unexpected(item.error()));
-                }
-                const auto record = DecodeJobRecord(job, item->value);
-                if (!record) {
-                  return done(tl::unexpected(record.error()));
-                }
-                ReadProgress(job, done);
-              });
-}
-
-void JobIntake::ReadProgress(const JobId& job,
-                             std::function<void(Result<JobState>)> done) {
-  m_store.Get(store_keys::Progress(job), kReadTimeout,
-              [this, job, done](Result<StoreItem> progress) {
-                JobState state = JobState::kQueued;
-                if (progress) {
-                  const auto stored = StateOfProgress(progress->value);
-                  if (!stored) {
-                    LogUnreadable(job, stored.error());
-                    return done(tl::unexpected(stored.error()));
-                  }
-                  state = *stored;
-                } else if (progress.error().code != ErrorCode::kNotFound) {
-                  return done(tl::unexpected(progress.error()));
-                }
-                if (IsTerminal(state)) {
-                  return done(state);
-                }
-                m_store.Get(
-                    store_keys::Cancelled(job), kReadTimeout,
-                    [state, done](Result<StoreItem> cancelled) {
-                      if (cancelled) {
-                        return done(JobState::kCancelled);
-                      }
-                      if (cancelled.error().code != ErrorCode::kNotFound) {
-                        return done(tl::unexpected(cancelled.error()));
-                      }
-                      done(state);
-                    });
-              });
-}
-
-void JobIntake::CountWaiting(const QueueId& queue,
-                             std::function<void(Result<std::size_t>)> done) {
-  if (const auto count = m_owner.CountWaiting(queue)) {
-    return done(*count);
+  if (response->status != kOk) {
+    return;
   }
-  const auto& owner = m_directory.owner();
-  if (!owner || owner->entry == m_self) {
-    return done(Fail(ErrorCode::kStoreUnavailable, "no owner is known"));
+  auto advice = DecodeBacklogAdvice(response->body);
+  if (!advice) {
+    return LogWarning("the owner's advice is ignored: it cannot be parsed",
+                      {{"detail", advice.error().detail}});
   }
-  m_peers.Post(owner->address, peer_paths::kWaitingJobs, queue.value(),
-               kOwnerTimeout, [done](Result<net::Response> response) {
-                 std::size_t count = 0;
-                 if (!response || response->status != kOk ||
-                     std::from_chars(
-                         response->body.data(),
-                         response->body.data() + response->body.size(), count)
-                             .ec != std::errc()) {
-                   return done(Fail(ErrorCode::kStoreUnavailable,
-                                    "the owner did not answer"));
-                 }
-                 done(count);
-               });
+  SetAdvice(std::move(*advice));
 }
 
 }  // namespace zinniacart
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -1,6 +1,7 @@
 """Promises on the users' platform, through the real daemons and stand-ins."""
 
 import json
+import secrets
 import signal
 import socket
 import sys
@@ -285,6 +286,75 @@
             self.assertEqual(410, site.call("GET", QUEUE + refused)[0])
             self.assertEqual([], site.runs(refused))
 
+    def test_submissions_to_a_silent_store_are_refused_and_never_run(self):
+        """The store carries out late whatever it was sent while it was silent."""
+        with PlatformSite() as site:
+            self.completes(site, site.submit(STEPS))
+            site.store.executes_late = True
+            site.store.mode = "silent"
+            for entry in site.entries:
+                wait_for("the entry notices", lambda: "store is away" in
+                         entry.log_path.read_text())
+            refused = [character * 16 for character in "abcdef"]
+            for number, job in enumerate(refused):
+                status, _ = site.call("POST", QUEUE + job, {"spec": "0.1 500", "steps": STEPS},
+                                      entry=number % 2)
+                self.assertEqual(503, status)
+                self.assertIn(int(site.last_headers["Retry-After"]), range(1, 6))
+            site.store.mode = None
+            for entry in range(2):
+                self.completes(site, site.submit(STEPS, entry=entry), entry)
+            for job in refused:
+                self.assertEqual(410, site.call("GET", QUEUE + job)[0])
+                self.assertEqual([], site.runs(job))
+
+    def test_an_entry_that_the_store_turns_away_stores_through_another(self):
+        for mode in ("silent", "busy"):
+            with self.subTest(mode), PlatformSite() as site:
+                site.doors[0].mode = mode
+                wait_for("the entry notices", lambda: "store is away" in
+                         site.entries[0].log_path.read_text())
+                jobs = [secrets.token_hex(8) for _ in range(3)]
+                for job in jobs:
+                    self.assertEqual(200, site.call(
+                        "POST", QUEUE + job, {"spec": "0.1 500", "steps": STEPS})[0])
+                site.doors[0].mode = None
+                for job in jobs:
+                    self.completes(site, job)
+
+    def test_a_job_that_would_end_too_late_is_refused_and_never_runs(self):
+        """Work of a higher priority fills the site for half a minute."""
+        late = "/late/"
+        with PlatformSite() as site:
+            site.configure(2, (QUEUE, late), {late: 1})
+            wait_for("the queue is known", lambda: site.call("GET", late)[0] == 200)
+            for _ in range(60):
+                site.submit([{"count": 4, "cpu": 1000, "mem_mb": 10, "estimate_ms": 1000}],
+                            seconds=1.0)
+            accepted = []
+            # The owner's advice reaches this entry with answers to its notices.
+            entry = 1 - site.entries.index(site.owner())
+
+            def refused_job():
+                job = secrets.token_hex(8)
+                status, _ = site.call("POST", late + job, {"spec": "0.2 500", "steps": STEPS},
+                                      entry)
+                if status == 503:
+                    return job
+                self.assertEqual(200, status)
+                accepted.append(job)
+                time.sleep(0.3)
+                return None
+
+            refused = wait_for("a job is refused", refused_job)
+            self.assertIn(int(site.last_headers["Retry-After"]), range(1, 31))
+            wait_for("the log names the reason", lambda: "refused: backlog" in
+                     site.entries[entry].log_path.read_text())
+            self.assertEqual(200, site.call("POST", late + accepted[0],
+                                            {"spec": "0.2 500", "steps": STEPS}, entry)[0])
+            self.assertEqual(410, site.call("GET", late + refused)[0])
+            self.assertEqual([], site.runs(refused))
+
     def test_answers_lost_by_the_store_are_found_out(self):
         with PlatformSite() as site:
             site.store.lose_answers = 4
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -115,6 +115,8 @@
         self.store_address = f"127.0.0.1:{port}"
         self.configure(1)
         self.workers, self.agents, self.entries = [], [], []
+        self.last_headers = {}
+        self.doors = []  # The way of each entry to the store; `mode` is its fault.
         for number in range(hosts):
             worker = platform_worker.Worker(f"w{number}", f"zone-{number}", "orders", cores)
             worker.serve()
@@ -137,8 +139,12 @@
     def add_entry(self, cpu_share):
         """Starts one more entry that may use this share of a core. @returns it."""
         number = len(self.entries)
+        door = platform_store.serve(self.store)
+        self.doors.append(door.RequestHandlerClass)
         entry = Node(self, "entry", f"entry-{number}", f"zone-{number}",
-                     {"limits": {"cpu_share": cpu_share}})
+                     {"limits": {"cpu_share": cpu_share},
+                      "platform": {"address": f"127.0.0.1:{door.server_address[1]}",
+                                   "ttl_min_ms": 1000}})
         entry.start_first()
         self.entries.append(entry)
         return entry
@@ -151,12 +157,14 @@
             if node.child.poll() is None:
                 node.kill()
 
-    def configure(self, version, queues=(QUEUE,)):
+    def configure(self, version, queues=(QUEUE,), priorities=None):
+        """Declares the queues; `priorities` gives those that are not 0."""
         self.store.put("op/config", {
             "version": version,
             "routes": [{"name": f"queue-{prefix}", "host": HOST_HEADER, "prefix": prefix,
                         "kind": "unsafe", "timeout_ms": 3000, "objective_ms": 300,
-                        "priority": 0, "service": "orders", "max_attempts": 2,
+                        "priority": (priorities or {}).get(prefix, 0),
+                        "service": "orders", "max_attempts": 2,
                         "stretch": 1.5} for prefix in queues],
             "services": [{"name": "orders", "rejects_overload": True, "spare": False}],
             "limits": {}})
@@ -205,6 +213,7 @@
                                 "Zinniacart-Deadline-Ms": str(int(timeout * 1000))})
             response = connection.getresponse()
             text = response.read()
+            self.last_headers = dict(response.getheaders())
             return response.status, json.loads(text) if text else {}
         finally:
             connection.close()
