--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -49,6 +49,7 @@
     def __init__(self, site, role, name, zone, extra):
         self.role, self.name = role, name
         self.folder = Path(site.folder)
+        self.site_limits = site.limits
         self.site_settings = {"zone": zone, "platform": {
             "address": site.store_address, "ttl_min_ms": 1000}, **extra}
         self.settings_path = self.folder / f"{name}.json"
@@ -57,14 +58,15 @@
         self.choose_ports()
 
     def choose_ports(self):
-        self.ports = free_ports(4)
+        self.ports = free_ports(5)
         settings = {
             "node_name": self.name, "ip": "127.0.0.1",
             # Agents listen on the second of these ports, entries on the first.
             "internal_ports": [self.ports[0] - (self.role == "agent"), self.ports[0] + 15],
-            "limits": {"cpu_share": 0.5},
             "bounds": {"grace_s": 6, "hold_max_ms": 10000},
             "listen": {}, **self.site_settings}
+        settings["limits"] = {"cpu_share": 0.5, **self.site_limits,
+                              **self.site_settings.get("limits", {})}
         if self.role == "entry":
             settings["listen"] = {"front": f"127.0.0.1:{self.ports[1]}",
                                   "ready": f"127.0.0.1:{self.ports[2]}"}
@@ -91,7 +93,8 @@
     def start(self):
         with open(self.log_path, "ab") as log:
             self.child = subprocess.Popen(
-                [str(NODE), self.role, "--settings", str(self.settings_path)],
+                [str(NODE), self.role, "--settings", str(self.settings_path),
+                 "--metrics-port", str(self.ports[4])],
                 stdout=log, stderr=log)
 
     def kill(self):
@@ -108,7 +111,8 @@
 class PlatformSite:
     """A store, some workers with their agents, some entries."""
 
-    def __init__(self, entries=2, hosts=2, cores=4, cpu_share=0.5):
+    def __init__(self, entries=2, hosts=2, cores=4, cpu_share=0.5, limits=None):
+        self.limits = limits or {}  # Further limits in the settings of every process.
         self.folder = tempfile.mkdtemp(prefix="zinniacart-")
         self.store = platform_store.Store()
         port = platform_store.serve(self.store).server_address[1]
