--- a/packages/jobs/job_spec.cc
+++ b/packages/jobs/job_spec.cc
@@ -1,6 +1,7 @@
 #include "jobs/job_spec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace zinniacart {
 namespace {
@@ -22,6 +23,22 @@
     return Fail(ErrorCode::kInvalidArgument, "a demand is negative",
                 StepField(number, "demand"));
   }
+  if (step.after.size() > limits.max_steps) {
+    return Fail(ErrorCode::kInvalidArgument,
+                std::to_string(step.after.size()) + " steps, at most " +
+                    std::to_string(limits.max_steps),
+                StepField(number, "after"));
+  }
+  for (const auto& [name, text] : {std::pair("image", &step.image),
+                                   std::pair("label", &step.required_label),
+                                   std::pair("rack", &step.preferred_rack)}) {
+    if (text->size() > limits.max_name_bytes) {
+      return Fail(ErrorCode::kInvalidArgument,
+                  std::to_string(text->size()) + " bytes, at most " +
+                      std::to_string(limits.max_name_bytes),
+                  StepField(number, name));
+    }
+  }
   for (const std::uint32_t earlier : step.after) {
     if (earlier >= number) {
       return Fail(ErrorCode::kInvalidArgument,
@@ -52,11 +69,19 @@
                     std::to_string(limits.max_steps),
                 "steps");
   }
+  std::uint64_t tasks = 0;
   for (std::size_t number = 0; number < spec.steps.size(); ++number) {
     auto valid = ValidateStep(spec.steps[number], number, limits);
     if (!valid) {
       return valid;
     }
+    tasks += spec.steps[number].count;
+  }
+  if (tasks > limits.max_tasks) {
+    return Fail(ErrorCode::kInvalidArgument,
+                std::to_string(tasks) + " tasks in all steps, at most " +
+                    std::to_string(limits.max_tasks),
+                "steps");
   }
   return {};
 }
--- a/packages/jobs/job_spec.h
+++ b/packages/jobs/job_spec.h
@@ -65,6 +65,12 @@
   std::size_t max_payload_bytes = 4000;
   std::size_t max_steps = 64;
   std::uint32_t max_tasks_per_step = 10000;
+  /// Of all steps. The owner holds every task that is due in memory, and a
+  /// message of 10 KB could declare 640,000.
+  std::uint32_t max_tasks = 20000;
+  /// Of an image, a label or a rack. The owner lists all jobs from the store,
+  /// in responses whose size is bounded.
+  std::size_t max_name_bytes = 256;
 };
 
 /// Checks the limits, and that steps depend only on earlier steps.
--- a/packages/jobs/tests/job_spec_test.cc
+++ b/packages/jobs/tests/job_spec_test.cc
@@ -54,6 +54,22 @@
   STRCMP_EQUAL("payload", Validate(spec).error().field.c_str());
 }
 
+/// Guards against a short message that fills the owner's memory.
+TEST(JobSpec, TasksOfAllStepsAndNamesAreLimited) {
+  JobSpec spec;
+  spec.steps = {MakeStep(10000, 1), MakeStep(10000, 1)};
+  CHECK(Validate(spec).has_value());
+  spec.steps.push_back(MakeStep(1, 1));
+  STRCMP_EQUAL("steps", Validate(spec).error().field.c_str());
+  STRCMP_EQUAL("20001 tasks in all steps, at most 20000",
+               Validate(spec).error().detail.c_str());
+  spec.steps.pop_back();
+  spec.steps[1].after.assign(65, 0);
+  STRCMP_EQUAL("steps[1].after", Validate(spec).error().field.c_str());
+  spec.steps[0].image = std::string(257, 'i');
+  STRCMP_EQUAL("steps[0].image", Validate(spec).error().field.c_str());
+}
+
 TEST(JobSpec, LongestChainFollowsDependencies) {
   JobSpec spec;
   spec.steps = {MakeStep(4, 100), MakeStep(2, 1000), MakeStep(1, 300, {0, 1}),
