--- a/packages/net/client_connection.cc
+++ b/packages/net/client_connection.cc
@@ -16,15 +16,28 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-/// Limits the memory that one response body takes: twice the largest value
-/// that the platform's store holds, because encoding enlarges the value.
-constexpr std::size_t kMaxResponseBytes = 8U << 20U;
+/// A server rarely sends more than one or two of them.
+constexpr int kMaxInterimResponses = 16;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
 
 }  // namespace
 
 ClientConnection::ClientConnection(boost::asio::io_context& loop,
-                                   std::shared_ptr<HttpClient> client)
-    : m_stream(loop), m_client(client), m_address(client->address()) {}
+                                   const std::shared_ptr<HttpClient>& client,
+                                   std::shared_ptr<ClientBudget> budget)
+    : m_stream(loop),
+      m_client(client),
+      m_budget(std::move(budget)),
+      m_address(client->address()) {}
+
+ClientConnection::~ClientConnection() {
+  SetHeldBytes(0);
+  m_budget->ReturnConnection();
+  if (const auto client = m_client.lock()) {
+    --client->m_connections;
+  }
+}
 
 void ClientConnection::Start(Request request,
                              Duration timeout,
@@ -63,7 +76,7 @@
   m_stream.async_connect(
       endpoint, [this, self = shared_from_this()](error_code error) {
         if (error) {
-          return FailWith(ErrorCode::kUnreachable, error);
+          return FailWith(ErrorCode::kUnreachable, error.message());
         }
         m_connected = true;
         m_stream.socket().set_option(tcp::no_delay(true), error);
@@ -76,7 +89,7 @@
       m_stream, m_request,
       [this, self = shared_from_this()](error_code error, std::size_t) {
         if (error) {
-          return FailWith(ErrorCode::kOutcomeUnknown, error);
+          return FailWith(ErrorCode::kOutcomeUnknown, error.message());
         }
         Read();
       });
@@ -84,37 +97,79 @@
 
 void ClientConnection::Read() {
   m_first_bytes_at.reset();
-  m_parser.emplace();
-  m_parser->body_limit(kMaxResponseBytes);
+  m_interim_responses = 0;
+  m_reader.Begin(m_budget->limits().most_header_bytes,
+                 m_budget->limits().most_body_bytes);
   ReadSome();
 }
 
 void ClientConnection::ReadSome() {
-  http::async_read_some(
-      m_stream, m_buffer, *m_parser,
-      [this, self = shared_from_this()](error_code error, std::size_t) {
-        if (error == http::error::body_limit) {
-          return FailWith(ErrorCode::kTooLarge, error);
-        }
-        if (error) {
-          return FailWith(ErrorCode::kOutcomeUnknown, error);
-        }
-        m_first_bytes_at = m_first_bytes_at.value_or(m_clock.Now());
-        if (m_parser->is_done()) {
-          return Finish();
-        }
-        if (m_patience == Patience::kEachPause) {
-          m_stream.expires_after(m_timeout);
-        }
-        ReadSome();
+  m_stream.async_read_some(
+      m_reader.Prepare(),
+      [this, self = shared_from_this()](error_code error, std::size_t bytes) {
+        OnRead(error, bytes);
       });
 }
 
-void ClientConnection::Finish() {
-  auto message = m_parser->release();
-  m_parser.reset();
+void ClientConnection::OnRead(const error_code& error, std::size_t bytes) {
+  if (error == boost::asio::error::eof &&
+      m_reader.ParseEnd() == ReadProgress::kComplete) {
+    return Finish(m_reader.TakeMessage());
+  }
+  if (error) {
+    return FailWith(ErrorCode::kOutcomeUnknown, error.message());
+  }
+  m_reader.Commit(bytes);
+  m_first_bytes_at = m_first_bytes_at.value_or(m_clock.Now());
+  OnProgress(m_reader.Parse());
+}
+
+void ClientConnection::OnProgress(ReadProgress progress) {
+  if (!SetHeldBytes(m_reader.HeldBytes())) {
+    return FailWith(ErrorCode::kTooLarge, "no memory for the response");
+  }
+  switch (progress) {
+    case ReadProgress::kMalformed:
+      return FailWith(ErrorCode::kOutcomeUnknown, "malformed response");
+    case ReadProgress::kHeaderTooLarge:
+      return FailWith(ErrorCode::kTooLarge,
+                      "header, chunk header or trailers exceed " +
+                          std::to_string(m_budget->limits().most_header_bytes) +
+                          " bytes");
+    case ReadProgress::kBodyTooLarge:
+      return FailWith(ErrorCode::kTooLarge,
+                      "body exceeds " +
+                          std::to_string(m_budget->limits().most_body_bytes) +
+                          " bytes");
+    case ReadProgress::kComplete:
+      return Finish(m_reader.TakeMessage());
+    case ReadProgress::kNeedMore:
+      break;
+  }
+  if (m_patience == Patience::kEachPause) {
+    m_stream.expires_after(m_timeout);
+  }
+  ReadSome();
+}
+
+void ClientConnection::SkipInterimResponse() {
+  if (++m_interim_responses > kMaxInterimResponses) {
+    return FailWith(ErrorCode::kOutcomeUnknown,
+                    "more than " + std::to_string(kMaxInterimResponses) +
+                        " interim responses");
+  }
+  m_reader.Begin(m_budget->limits().most_header_bytes,
+                 m_budget->limits().most_body_bytes);
+  OnProgress(m_reader.Parse());
+}
+
+void ClientConnection::Finish(MessageReader<false>::Message message) {
+  const int status = static_cast<int>(message.result_int());
+  if (status < kFirstFinalStatus && status != kSwitchingProtocols) {
+    return SkipInterimResponse();
+  }
   Response response;
-  response.status = static_cast<int>(message.result_int());
+  response.status = status;
   response.body = std::move(message.body());
   response.received_in = m_clock.Now() - *m_first_bytes_at;
   for (const auto& field : message) {
@@ -123,19 +178,30 @@
   }
   auto done = std::exchange(m_done, nullptr);
   const auto client = m_client.lock();
-  if (client && message.keep_alive()) {
+  m_request = {};
+  m_reader.ShrinkBuffer();
+  SetHeldBytes(0);
+  // Bytes beyond the response would be taken for the next one.
+  if (client && message.keep_alive() && !m_reader.has_unparsed_bytes()) {
     m_stream.expires_never();
     client->ReturnToPool(shared_from_this());
   }
   done(std::move(response));
 }
 
-void ClientConnection::FailWith(ErrorCode code, const error_code& error) {
+void ClientConnection::FailWith(ErrorCode code, const std::string& detail) {
   error_code ignored;
   m_stream.socket().close(ignored);
   m_connected = false;
+  m_reader.Clear();
+  SetHeldBytes(0);
   auto done = std::exchange(m_done, nullptr);
-  done(Fail(code, m_address.ToString() + ": " + error.message()));
+  done(Fail(code, m_address.ToString() + ": " + detail));
+}
+
+bool ClientConnection::SetHeldBytes(std::size_t bytes) {
+  const std::size_t before = std::exchange(m_held_bytes, bytes);
+  return m_budget->ChangeHeldBytes(before, bytes);
 }
 
 }  // namespace zinniacart::net
--- a/packages/site/agent_node.cc
+++ b/packages/site/agent_node.cc
@@ -1,5 +1,6 @@
 #include "site/agent_node.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr Duration kTickInterval{100};
+/// An owner that asks to wait longer gets a report after this time, so that
+/// requests do not occupy connections without end.
+constexpr Duration kMaxWait{60000};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -38,7 +42,7 @@
 
 Result<void> AgentNode::Start() {
   m_peer_server = std::make_unique<net::HttpServer>(
-      m_loop, net::ServerLimits{},
+      m_loop, m_settings.peer_listener,
       [this](net::Request request, net::Responder respond) {
         HandlePeer(std::move(request), std::move(respond));
       });
@@ -80,8 +84,8 @@
     LogInfo("new owner accepted", {{"owner", orders->owner.value()},
                                    {"epoch", orders->epoch.value()}});
   }
-  m_waiting_requests.push_back(
-      WaitingRequest{std::move(respond), m_clock.Now() + orders->wait});
+  m_waiting_requests.push_back(WaitingRequest{
+      std::move(respond), m_clock.Now() + std::min(orders->wait, kMaxWait)});
   SendCallsAndReports();
 }
 
--- a/packages/site/agent_node.h
+++ b/packages/site/agent_node.h
@@ -20,6 +20,7 @@
   std::string ip;               ///< Address for the owner's requests.
   std::uint16_t peer_port = 0;  ///< Port for the owner's requests.
   SupervisorSettings supervisor;
+  net::ServerLimits peer_listener;
 };
 
 /// The agent process's main class, one on each host. Receives the owner's
@@ -45,6 +46,8 @@
   void OnAnnouncement(const WorkerFacts& facts, std::uint64_t sequence);
 
   const HostSupervisor& supervisor() const { return m_supervisor; }
+  /// @returns the listener for the owner; call it only after `Start`.
+  const net::HttpServer& peer_server() const { return *m_peer_server; }
 
  private:
   /// A request of the owner that is answered when there is something to report.
--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -59,7 +59,7 @@
     : m_loop(loop),
       m_settings(std::move(settings)),
       m_clock(clock),
-      m_peers(loop),
+      m_peers(loop, m_settings.to_peers),
       m_succession(m_settings.entry, m_settings.owner.cores, clock),
       m_hand_over_timer(loop),
       m_registration(loop,
@@ -86,7 +86,7 @@
 
 Result<void> EntryNode::Start() {
   m_peer_server = std::make_unique<net::HttpServer>(
-      m_loop, net::ServerLimits{},
+      m_loop, m_settings.peer_listener,
       [this](net::Request request, net::Responder respond) {
         HandlePeer(std::move(request), std::move(respond));
       });
--- a/packages/site/entry_node.h
+++ b/packages/site/entry_node.h
@@ -28,6 +28,8 @@
   std::string ip;  ///< Local address that the peer server listens on.
   std::uint16_t peer_port = 0;  ///< Port for requests of other entries.
   OwnerSettings owner;
+  net::ServerLimits peer_listener;
+  net::ClientLimits to_peers;
 };
 
 /// An entry process of a site. It accepts jobs from callers, serves the other
@@ -64,6 +66,8 @@
   }
   JobIntake& intake() { return *m_intake; }
   const Owner& owner() const { return *m_owner; }
+  /// @returns the listener for other entries; call it only after `Start`.
+  const net::HttpServer& peer_server() const { return *m_peer_server; }
 
  private:
   void HandlePeer(net::Request request, net::Responder respond);
--- a/packages/site/node_metrics.cc
+++ b/packages/site/node_metrics.cc
@@ -20,7 +20,19 @@
       m_requests(prometheus::BuildHistogram()
                      .Name("zinniacart_request_seconds")
                      .Help("Time to the answer, by kind and outcome")
-                     .Register(*m_registry)) {}
+                     .Register(*m_registry)),
+      m_refusals(prometheus::BuildCounter()
+                     .Name("zinniacart_connections_refused_total")
+                     .Help("Clients refused or closed, by listener and reason")
+                     .Register(*m_registry)),
+      m_open_connections(prometheus::BuildGauge()
+                             .Name("zinniacart_open_connections")
+                             .Help("Open connections, by listener")
+                             .Register(*m_registry)),
+      m_held_bytes(prometheus::BuildGauge()
+                       .Name("zinniacart_held_bytes")
+                       .Help("Memory that connections occupy, by listener")
+                       .Register(*m_registry)) {}
 
 void NodeMetrics::CountRequest(const std::string& kind,
                                const std::string& outcome,
@@ -40,6 +52,18 @@
       .Set(value);
 }
 
+void NodeMetrics::ObserveListener(const net::HttpServer& server) {
+  m_open_connections.Add({{"listener", server.name()}})
+      .Set(static_cast<double>(server.open_connections()));
+  m_held_bytes.Add({{"listener", server.name()}})
+      .Set(static_cast<double>(server.held_bytes()));
+  for (const auto& [reason, count] : server.refusals()) {
+    prometheus::Counter& counter =
+        m_refusals.Add({{"listener", server.name()}, {"reason", reason}});
+    counter.Increment(static_cast<double>(count) - counter.Value());
+  }
+}
+
 std::string NodeMetrics::Write() const {
   return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
--- a/packages/site/node_metrics.h
+++ b/packages/site/node_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -9,11 +10,12 @@
 #include <string>
 
 #include "base/clock.h"
+#include "net/http_server.h"
 
 namespace zinniacart {
 
-/// The Prometheus metrics of one process: a histogram of request durations and
-/// gauges.
+/// The Prometheus metrics of one process: a histogram of request durations,
+/// gauges, and a counter of refused clients.
 class NodeMetrics final {
  public:
   NodeMetrics();
@@ -30,12 +32,19 @@
   /// @param help the gauge's description in the text format.
   void Set(const std::string& name, const std::string& help, double value);
 
+  /// Sets the gauges of a listener's open connections and held bytes, and the
+  /// counter of its refused clients, by reason.
+  void ObserveListener(const net::HttpServer& server);
+
   /// @returns all metrics in Prometheus's text format.
   std::string Write() const;
 
  private:
   std::shared_ptr<prometheus::Registry> m_registry;
   prometheus::Family<prometheus::Histogram>& m_requests;
+  prometheus::Family<prometheus::Counter>& m_refusals;
+  prometheus::Family<prometheus::Gauge>& m_open_connections;
+  prometheus::Family<prometheus::Gauge>& m_held_bytes;
 };
 
 }  // namespace zinniacart
--- a/packages/site/peer_clients.cc
+++ b/packages/site/peer_clients.cc
@@ -16,7 +16,7 @@
       m_clients.erase(address);
       return done(tl::unexpected(parsed.error()));
     }
-    client = net::HttpClient::Create(m_loop, *parsed);
+    client = net::HttpClient::Create(m_loop, *parsed, m_budget);
   }
   client->Call(net::Request{"POST", path, {}, std::move(body), {}}, timeout,
                std::move(done));
--- a/packages/site/peer_clients.h
+++ b/packages/site/peer_clients.h
@@ -13,7 +13,10 @@
 /// agents). Keeps one client for each address.
 class PeerClients final {
  public:
-  explicit PeerClients(boost::asio::io_context& loop) : m_loop(loop) {}
+  /// @param limits bound the connections and responses of all clients together.
+  explicit PeerClients(boost::asio::io_context& loop,
+                       const net::ClientLimits& limits = {})
+      : m_loop(loop), m_budget(std::make_shared<net::ClientBudget>(limits)) {}
 
   /// Sends a POST request.
   /// @param address where to send it, as ip:port.
@@ -27,6 +30,7 @@
 
  private:
   boost::asio::io_context& m_loop;
+  const std::shared_ptr<net::ClientBudget> m_budget;
   std::map<std::string, std::shared_ptr<net::HttpClient>> m_clients;
 };
 
