--- a/packages/base/json_text.cc
+++ b/packages/base/json_text.cc
@@ -11,13 +11,41 @@
 
 constexpr std::int64_t kMaxCount = std::numeric_limits<std::uint32_t>::max();
 
-/// Throws where the brackets outside of strings nest too deeply. Text that is
-/// not JSON may pass; the parser rejects it.
-void CheckDepth(std::string_view text) {
+// Memory of the JSON library's values, with what growing arrays leave unused.
+constexpr std::size_t kContainerMemory = 40;
+constexpr std::size_t kElementMemory = 32;
+constexpr std::size_t kMemberMemory = 96;
+
+/// @returns the memory that `character`, outside of strings, stands for.
+std::size_t MemoryOf(char character) {
+  switch (character) {
+    case '[':
+    case '{':
+      return kContainerMemory;
+    case ',':
+      return kElementMemory;
+    case ':':
+      return kMemberMemory;
+    default:
+      return 0;
+  }
+}
+
+/// Throws where the brackets outside of strings nest too deeply or the values
+/// would occupy too much memory. Text that is not JSON may pass; the parser
+/// rejects it.
+void CheckSize(std::string_view text, std::size_t max_memory) {
+  std::size_t memory = 0;
   std::size_t depth = 0;
   bool in_string = false;
   for (std::size_t at = 0; at < text.size(); ++at) {
     const char character = text[at];
+    memory += in_string ? 0 : MemoryOf(character);
+    if (memory > max_memory) {
+      throw std::invalid_argument("JSON has too many values at byte " +
+                                  std::to_string(at) + " of " +
+                                  std::to_string(text.size()));
+    }
     if (in_string) {
       at += character == '\\' ? 1U : 0U;
       in_string = character != '"';
@@ -48,8 +76,8 @@
 
 }  // namespace
 
-json ParseJson(std::string_view text) {
-  CheckDepth(text);
+json ParseJson(std::string_view text, std::size_t max_memory) {
+  CheckSize(text, max_memory);
   return json::parse(text);
 }
 
--- a/packages/base/json_text.h
+++ b/packages/base/json_text.h
@@ -17,11 +17,19 @@
 /// exactly, and sums of some hundred such integers fit into 64 bits.
 inline constexpr std::int64_t kMaxJsonInteger = std::int64_t{1} << 53;
 
+/// Most memory that the values of one text may occupy besides their strings, as
+/// estimated by `ParseJson`. Small values occupy up to 25 times their text: 4
+/// MiB of empty arrays took a process with 128 MB to 133 MB.
+inline constexpr std::size_t kMaxJsonMemory = 24U << 20U;
+
 /// Parses JSON text from outside the process.
+/// @param max_memory bounds the estimated memory of the values.
 /// @returns the value, whose strings are valid UTF-8.
 /// @throws std::exception if `text` is not JSON, contains a number that a
-///         double cannot hold, or is nested deeper than `kMaxJsonDepth`.
-nlohmann::json ParseJson(std::string_view text);
+///         double cannot hold, is nested deeper than `kMaxJsonDepth`, or has
+///         too many values for `max_memory`.
+nlohmann::json ParseJson(std::string_view text,
+                         std::size_t max_memory = kMaxJsonMemory);
 
 /// @returns the JSON text of `value`; bytes of its strings that are not UTF-8
 /// are replaced by U+FFFD.
--- a/packages/base/tests/json_text_test.cc
+++ b/packages/base/tests/json_text_test.cc
@@ -31,6 +31,19 @@
 
 TEST_GROUP(JsonText){};
 
+/// Guards against a message of some MiB that takes the process's memory.
+TEST(JsonText, DenseValuesAreRejectedBeforeTheyAreParsed) {
+  const std::string text = "[[],[],[]]";
+  CHECK(ParseJson(text).is_array());
+  CHECK_THROWS(std::invalid_argument, ParseJson(text, 100));
+  CHECK(ParseJson(R"(["[[],[],[]]"])", 100).is_array());
+  std::string dense = "[";
+  while (dense.size() < 4U << 20U) {
+    dense += "[],";
+  }
+  CHECK_THROWS(std::invalid_argument, ParseJson(dense + "1]"));
+}
+
 TEST(JsonText, DeepNestingIsRejectedBeforeItIsParsed) {
   CHECK(ParseJson(Nest(kMaxJsonDepth)).is_array());
   CHECK_THROWS(std::invalid_argument, ParseJson(Nest(kMaxJsonDepth + 1)));
--- a/packages/jobs/job_record.cc
+++ b/packages/jobs/job_record.cc
@@ -124,6 +124,10 @@
     record.accepted_at_ms = ReadIntegerField(row, "accepted_at_ms");
     record.spec.payload = row.at("payload");
     for (const json& step : row.at("steps")) {
+      // A decoded step takes up to a hundred times its text.
+      if (record.spec.steps.size() > JobLimits{}.max_steps) {
+        break;  // `Validate` rejects the job.
+      }
       record.spec.steps.push_back(DecodeStep(step));
     }
     if (const auto schedule = row.find("schedule"); schedule != row.end()) {
--- a/packages/net/process_limits.cc
+++ b/packages/net/process_limits.cc
@@ -65,7 +65,7 @@
   limits.peers.name = "peers";
   limits.peers.most_connections = share(kPeersPercent);
   limits.peers.most_held_bytes = large_share;
-  limits.peers.most_body_bytes = std::min(kMaxPeerBodyBytes, large_share / 2);
+  limits.peers.most_body_bytes = std::min(kMaxPeerBodyBytes, large_share / 3);
   limits.peers.socket_buffer_bytes = kPeerSocketBufferBytes;
 
   limits.check_ins = limits.peers;
--- a/tests/untrusted_clients_test.py
+++ b/tests/untrusted_clients_test.py
@@ -223,6 +223,24 @@
     def test_many_headers_of_short_fields(self):
         self.bring_crowd([HEAD + b"Content-Length: 10\r\n" + b"a:b\r\n" * 3000 + b"\r\n"])
 
+    def test_dense_values(self):
+        """A decoded value occupies many times its text."""
+        targets = {"callers": QUEUE + "a" * 16, "peers": "/entry/store-job/" + "a" * 16,
+                   "agent's peers": "/host/sync",
+                   "check-ins": "/v1/Instances.Heartbeat/i-w0"}
+
+        def attack(port, _):
+            for unit in (b"[],", b"{},", b"1,", b'{"":1},', b'{"a":{}},'):
+                for size in (1 << 20, 2 << 20, 4 << 20):
+                    text = unit * ((size - 100) // len(unit))
+                    body = b'{"spec":"","steps":[' + text + b"1]}"
+                    head = (f"POST {targets.get(port.name, '/')} HTTP/1.1\r\n"
+                            f"Host: {HOST_HEADER}\r\nContent-Length: {len(body)}\r\n\r\n")
+                    with port.connect() as connection:
+                        send_all(connection, [head.encode(), body])
+
+        self.bring(attack)
+
     def test_many_idle_connections(self):
         self.bring_crowd([])
 
