--- a/packages/net/connection_ledger.cc
+++ b/packages/net/connection_ledger.cc
@@ -78,12 +78,17 @@
 
 ConnectionRecord* ConnectionLedger::ChooseForBytes(Instant now) const {
   ConnectionRecord* chosen = nullptr;
+  bool chosen_is_slow = false;
   for (ConnectionRecord* record : m_records) {
-    const bool may_close = record->phase == ConnectionPhase::kReading ||
-                           (record->phase == ConnectionPhase::kWriting &&
-                            now - record->since >= kUsualTransfer);
-    if (may_close && (!chosen || record->held_bytes > chosen->held_bytes)) {
+    const bool slow =
+        IsTransfer(*record) && now - record->since >= kUsualTransfer;
+    if (!slow && record->phase != ConnectionPhase::kReading) {
+      continue;
+    }
+    if (!chosen || (slow && !chosen_is_slow) ||
+        (slow == chosen_is_slow && record->held_bytes > chosen->held_bytes)) {
       chosen = record;
+      chosen_is_slow = slow;
     }
   }
   return chosen;
--- a/packages/net/connection_ledger.h
+++ b/packages/net/connection_ledger.h
@@ -43,9 +43,10 @@
   /// longer than usual, then idle connections, then any incomplete request; of
   /// each kind the oldest. Null if all of them are being handled.
   ConnectionRecord* ChooseForSlot(Instant now) const;
-  /// @returns the connection to close so that others may hold more: the one
-  /// that holds most, of incomplete requests and of responses that have been
-  /// unread for longer than usual. Null if there is none.
+  /// @returns the connection to close so that others may hold more: of the
+  /// requests that have been incomplete and the responses that have been unread
+  /// for longer than usual the one that holds most, otherwise the incomplete
+  /// request that holds most. Null if there is none.
   ConnectionRecord* ChooseForBytes(Instant now) const;
   /// @returns the refused connection that was refused first; null if none.
   ConnectionRecord* OldestLingering() const;
--- a/packages/net/tests/connection_ledger_test.cc
+++ b/packages/net/tests/connection_ledger_test.cc
@@ -49,10 +49,14 @@
 }
 
 TEST(ConnectionLedger, TheLargestIsClosedForMemory) {
-  Add(ConnectionPhase::kReading, Duration(9000), 10);
+  Add(ConnectionPhase::kReading, Duration(1), 20);
   ConnectionRecord* largest = Add(ConnectionPhase::kReading, Duration(1), 30);
-  Add(ConnectionPhase::kHandling, Duration(1), 90);
+  Add(ConnectionPhase::kHandling, Duration(9000), 90);
   POINTERS_EQUAL(largest, ledger.ChooseForBytes(kNow));
+  // Otherwise slow clients of a medium size would keep larger requests out.
+  Add(ConnectionPhase::kReading, Duration(9000), 10);
+  ConnectionRecord* slow = Add(ConnectionPhase::kWriting, Duration(5000), 15);
+  POINTERS_EQUAL(slow, ledger.ChooseForBytes(kNow));
 }
 
 TEST(ConnectionLedger, CountsFollowPhasesAndRemovals) {
