--- a/packages/site/entry_node.h
+++ b/packages/site/entry_node.h
@@ -31,6 +31,8 @@
   std::uint16_t peer_port = 0;  ///< Port for requests of other entries.
   OwnerSettings owner;
   StoreAvailabilitySettings store_availability;
+  net::ServerLimits peer_listener;
+  net::ClientLimits to_peers;
 };
 
 /// An entry process of a site. It accepts jobs from callers, serves the other
@@ -69,6 +71,8 @@
   const Owner& owner() const { return *m_owner; }
   /// The store, with its health. All calls of the process go through it.
   StoreMonitor& store() { return m_store; }
+  /// @returns the listener for other entries; call it only after `Start`.
+  const net::HttpServer& peer_server() const { return *m_peer_server; }
 
  private:
   void HandlePeer(net::Request request, net::Responder respond);
