--- a/packages/scheduling/job_order.cc
+++ b/packages/ordering/job_order.cc
@@ -1,4 +1,4 @@
-#include "scheduling/job_order.h"
+#include "ordering/job_order.h"
 
 namespace zinniacart {
 namespace {
@@ -14,24 +14,6 @@
 
 }  // namespace
 
-RankingInputs RankingInputsOf(const Job& job,
-                              std::uint32_t step,
-                              const RunTimeEstimator& estimate_time,
-                              Instant now) {
-  const QueuePolicy& policy = job.policy();
-  RankingInputs inputs;
-  inputs.objective =
-      Duration(static_cast<std::int64_t>(
-          policy.stretch *
-          static_cast<double>(
-              LongestChainEstimate(job.spec(), estimate_time).count()))) +
-      policy.objective;
-  inputs.age = now - job.accepted();
-  inputs.chain_left = ChainEstimate(job.spec(), step, estimate_time);
-  inputs.core_seconds_left = job.CoreSecondsLeft(estimate_time);
-  return inputs;
-}
-
 double RankOf(const RankingInputs& inputs) {
   const auto objective = static_cast<double>(inputs.objective.count());
   const double slack =
--- a/packages/scheduling/job_order.h
+++ b/packages/ordering/job_order.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/clock.h"
-#include "scheduling/job.h"
 
 namespace zinniacart {
 
@@ -13,13 +12,6 @@
   double core_seconds_left = 0;  ///< Work of the tasks that are not done.
 };
 
-/// @returns the properties of `job` at `now` for ranking its step `step`.
-/// @param estimate_time gives the expected run time of the tasks of each step.
-RankingInputs RankingInputsOf(const Job& job,
-                              std::uint32_t step,
-                              const RunTimeEstimator& estimate_time,
-                              Instant now);
-
 /// Ranks jobs of equal priority; the smallest rank is placed first.
 ///
 /// Jobs with little slack and little remaining work come first. Jobs that can
--- a/packages/scheduling/run_time_model.cc
+++ b/packages/ordering/run_time_model.cc
@@ -1,4 +1,4 @@
-#include "scheduling/run_time_model.h"
+#include "ordering/run_time_model.h"
 
 #include <algorithm>
 #include <cmath>
@@ -21,10 +21,13 @@
   ++runs.count;
   const double weight =
       std::max(m_settings.newest_weight, 1.0 / static_cast<double>(runs.count));
-  const double log_taken = std::log(static_cast<double>(taken.count()));
   const double log_declared = std::log(static_cast<double>(declared.count()));
-  runs.taken.Add(log_taken, weight);
-  runs.ratio.Add(log_taken - log_declared, weight);
+  const double max_log_ratio = std::log(m_settings.max_ratio);
+  const double log_ratio =
+      std::clamp(std::log(static_cast<double>(taken.count())) - log_declared,
+                 -max_log_ratio, max_log_ratio);
+  runs.taken.Add(log_declared + log_ratio, weight);
+  runs.ratio.Add(log_ratio, weight);
 }
 
 Duration RunTimeModel::ExpectedRunTime(const QueueId& queue,
--- a/packages/scheduling/run_time_model.h
+++ b/packages/ordering/run_time_model.h
@@ -16,6 +16,9 @@
   /// Lower bound of the variance of the logarithms: however uniform the past
   /// runs are, the next one is not certain.
   double min_variance = 0.01;
+  /// A run time counts as at most this many times the declared one, and at
+  /// least that part of it: what lies beyond is a fault of the measurement.
+  double max_ratio = 20;
 };
 
 /// Learns how long the tasks of a queue run, and how accurate the declared
@@ -27,8 +30,9 @@
  public:
   explicit RunTimeModel(RunTimeSettings settings = {}) : m_settings(settings) {}
 
-  /// Learns from a finished task that ran at full speed from start to end. Does
-  /// nothing if a duration is not positive.
+  /// Learns from a finished task that ran at full speed from start to end, with
+  /// its run time bounded by `RunTimeSettings::max_ratio`. Does nothing if a
+  /// duration is not positive.
   void Learn(const QueueId& queue, Duration declared, Duration taken);
 
   /// @returns how long a task with this declared time is expected to run at
--- a/packages/scheduling/sibling_speeds.cc
+++ b/packages/ordering/sibling_speeds.cc
@@ -1,11 +1,21 @@
-#include "scheduling/sibling_speeds.h"
+#include "ordering/sibling_speeds.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
-#include <vector>
-
-#include "scheduling/host_health.h"
 
 namespace zinniacart {
+
+std::optional<double> MedianSpeed(std::vector<double> speeds) {
+  if (speeds.empty()) {
+    return std::nullopt;
+  }
+  const auto middle =
+      speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+  std::nth_element(speeds.begin(), middle, speeds.end());
+  return *middle;
+}
+
 void SiblingSpeeds::Observe(const TaskKey& step,
                             const HostId& host,
                             double speed) {
--- a/packages/scheduling/sibling_speeds.h
+++ b/packages/ordering/sibling_speeds.h
@@ -2,12 +2,16 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "base/ids.h"
 #include "jobs/task_key.h"
 
 namespace zinniacart {
 
+/// @returns the upper median of `speeds`, empty where there are none.
+std::optional<double> MedianSpeed(std::vector<double> speeds);
+
 /// Records the newest speed of each step's tasks on each host. Declared run
 /// times may be wrong by a large factor, but all tasks of a step share that
 /// error: if a step is slow on one host only, the host is the cause.
--- a/packages/scheduling/tests/job_order_test.cc
+++ b/packages/ordering/tests/job_order_test.cc
@@ -1,4 +1,4 @@
-#include "scheduling/job_order.h"
+#include "ordering/job_order.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/packages/scheduling/tests/run_time_model_test.cc
+++ b/packages/ordering/tests/run_time_model_test.cc
@@ -1,4 +1,4 @@
-#include "scheduling/run_time_model.h"
+#include "ordering/run_time_model.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -62,3 +62,11 @@
   DOUBLES_EQUAL(3000, model.ExpectedRunTime(queue, Duration(1500)).count(),
                 400);
 }
+
+// Guards against one run time of almost nothing, measured from a late report
+// of the start, that makes all further estimates of the queue useless.
+TEST(RunTimeModel, RunTimeOfAlmostNothingIsBounded) {
+  LearnRuns(100, 0.3, 0.1);
+  model.Learn(queue, Duration(2000), Duration(1));
+  CHECK(model.ExpectedRunTime(queue, Duration(2000)) > Duration(1500));
+}
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -54,7 +54,13 @@
   Incarnation delivered_to;
   Instant delivered_at;
   Incarnation first_delivered_to;  ///< As above, of the first start order.
-  Instant started_at;
+  Instant started_at;              ///< When a report first showed it at work.
+  /// How often the start was sent, and when last.
+  std::uint32_t start_deliveries = 0;
+  Instant start_delivered_at;
+  /// When it began, for its run time. Earlier than `started_at` where the
+  /// report that showed the start was late.
+  Instant began_at;
   RunningTask latest;  ///< As the worker last listed it.
   /// A serving task: the margin it is expected to have without best-effort
   /// work once a new pace takes effect; empty before its first measurement.
--- a/packages/scheduling/host_health.cc
+++ b/packages/scheduling/host_health.cc
@@ -74,14 +74,4 @@
   }
 }
 
-std::optional<double> MedianSpeed(std::vector<double> speeds) {
-  if (speeds.empty()) {
-    return std::nullopt;
-  }
-  const auto middle =
-      speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
-  std::nth_element(speeds.begin(), middle, speeds.end());
-  return *middle;
-}
-
 }  // namespace zinniacart
--- a/packages/scheduling/host_health.h
+++ b/packages/scheduling/host_health.h
@@ -72,7 +72,4 @@
   std::optional<Instant> m_unhealthy_since;
 };
 
-/// @returns the upper median of `speeds`, empty where there are none.
-std::optional<double> MedianSpeed(std::vector<double> speeds);
-
 }  // namespace zinniacart
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -448,6 +448,8 @@
         run.first_delivered_to = host.agent;
       }
       orders.starts.push_back(run.order);
+      ++run.start_deliveries;
+      run.start_delivered_at = now;
     } else {
       continue;
     }
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -15,16 +15,16 @@
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/queue.h"
+#include "ordering/run_time_model.h"
+#include "ordering/sibling_speeds.h"
 #include "scheduling/crash_history.h"
 #include "scheduling/headroom.h"
 #include "scheduling/host.h"
 #include "scheduling/host_messages.h"
 #include "scheduling/job.h"
 #include "scheduling/placement.h"
-#include "scheduling/run_time_model.h"
 #include "scheduling/scheduler_settings.h"
 #include "scheduling/serving_load.h"
-#include "scheduling/sibling_speeds.h"
 
 namespace zinniacart {
 
@@ -165,6 +165,7 @@
   const std::map<JobId, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
   const std::map<HostId, Host>& hosts() const { return m_hosts; }
   const InterferenceModel& interference() const { return m_interference; }
+  const RunTimeModel& run_times() const { return m_run_times; }
   /// Adds what an earlier owner had learned about interference.
   /// @returns the errors of `::RestoreInterference`.
   Result<void> RestoreInterference(const std::string& bytes);
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -2,6 +2,7 @@
 #include <map>
 #include <vector>
 
+#include "ordering/sibling_speeds.h"
 #include "scheduling/failure_verdict.h"
 #include "scheduling/scheduler.h"
 
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -1,7 +1,8 @@
 #include <algorithm>
 
-#include "scheduling/job_order.h"
+#include "ordering/job_order.h"
 #include "scheduling/placement.h"
+#include "scheduling/ranking_inputs.h"
 #include "scheduling/scheduler.h"
 
 namespace zinniacart {
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -9,6 +9,11 @@
 /// Pace, in percent, set for best-effort tasks that a previous owner started.
 constexpr int kRecoveredPercent = 50;
 
+/// A start takes effect within this time after it was sent, unless it is lost.
+/// A report that shows it later was late itself: a run time counted from that
+/// report would be too short, down to almost nothing.
+constexpr Duration kMaxStartDelay{150};
+
 const char* ToString(EndKind how) {
   switch (how) {
     case EndKind::kDone:
@@ -198,12 +203,13 @@
 
 void Scheduler::LearnRunTime(const Job& job, const HostedRun& run) {
   const TaskKey& task = run.order.id.task;
-  const bool representative =
-      run.started && run.never_slowed && !run.recovered &&
-      run.order.resume_from == CheckpointId() && task.job == job.id();
+  const bool representative = run.started && run.never_slowed &&
+                              !run.recovered && run.start_deliveries == 1 &&
+                              run.order.resume_from == CheckpointId() &&
+                              task.job == job.id();
   if (representative && !run.perpetual) {
     m_run_times.Learn(job.record().queue, job.spec().steps[task.step].estimate,
-                      m_clock.Now() - run.started_at);
+                      m_clock.Now() - run.began_at);
   }
 }
 
@@ -282,6 +288,10 @@
   }
   run.started = true;
   run.started_at = m_clock.Now();
+  run.began_at =
+      run.start_deliveries == 1
+          ? std::min(run.started_at, run.start_delivered_at + kMaxStartDelay)
+          : run.started_at;
   host.has_orders = host.has_orders || run.pace_pending;
 }
 
--- a/packages/scheduling/tests/occurrences_test.cc
+++ b/packages/scheduling/tests/occurrences_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "scheduling/sibling_speeds.h"
+#include "ordering/sibling_speeds.h"
 #include "scheduling/tests/scheduler_harness.h"
 
 using namespace zinniacart;
