--- a/packages/ordering/job_order.cc
+++ b/packages/ordering/job_order.cc
@@ -15,13 +15,16 @@
 }  // namespace
 
 double RankOf(const RankingInputs& inputs) {
-  const auto objective = static_cast<double>(inputs.objective.count());
-  const double slack =
-      static_cast<double>(
-          (inputs.objective - inputs.age - inputs.chain_left).count()) +
-      kLatenessTolerance * objective;
+  const double tolerance =
+      kLatenessTolerance * static_cast<double>(inputs.objective.count());
+  const Duration until_due = inputs.objective - inputs.age;
   const double work = kSlackMsPerCoreSecond * inputs.core_seconds_left;
-  return slack < 0 ? kTooLatePenaltyMs + work : slack + work;
+  const bool late =
+      static_cast<double>((until_due - inputs.critical_left).count()) <
+      -tolerance;
+  return late ? kTooLatePenaltyMs + work
+              : static_cast<double>((until_due - inputs.chain_left).count()) +
+                    tolerance + work;
 }
 
 }  // namespace zinniacart
--- a/packages/ordering/job_order.h
+++ b/packages/ordering/job_order.h
@@ -6,9 +6,11 @@
 
 /// The properties of a job that decide its rank.
 struct RankingInputs {
-  Duration objective{0};         ///< Time from acceptance to the due time.
-  Duration age{0};               ///< Time since acceptance.
-  Duration chain_left{0};        ///< Run time of the rest of the critical path.
+  Duration objective{0};   ///< Time from acceptance to the due time.
+  Duration age{0};         ///< Time since acceptance.
+  Duration chain_left{0};  ///< Run time of the longest chain from the step on.
+  /// Run time of the rest of the critical path, including running tasks.
+  Duration critical_left{0};
   double core_seconds_left = 0;  ///< Work of the tasks that are not done.
 };
 
--- a/packages/ordering/run_time_model.h
+++ b/packages/ordering/run_time_model.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
+#include <string>
 
 #include "base/clock.h"
-#include "jobs/job_spec.h"
 #include "jobs/queue.h"
+#include "ordering/run_time_estimate.h"
 
 namespace zinniacart {
 
@@ -16,9 +18,12 @@
   /// Lower bound of the variance of the logarithms: however uniform the past
   /// runs are, the next one is not certain.
   double min_variance = 0.01;
-  /// A run time counts as at most this many times the declared one, and at
-  /// least that part of it: what lies beyond is a fault of the measurement.
-  double max_ratio = 20;
+  /// Variance of the logarithm of run time over declared time while too few
+  /// runs are known; 0.3 to 1.0 on the traced sites.
+  double assumed_variance = 0.5;
+  /// Share of that variance that the tasks of one step have in common while too
+  /// few steps are known; 0.14 and 0.27 on the traced sites.
+  double assumed_common_share = 0.2;
 };
 
 /// Learns how long the tasks of a queue run, and how accurate the declared
@@ -31,17 +36,28 @@
   explicit RunTimeModel(RunTimeSettings settings = {}) : m_settings(settings) {}
 
   /// Learns from a finished task that ran at full speed from start to end, with
-  /// its run time bounded by `RunTimeSettings::max_ratio`. Does nothing if a
-  /// duration is not positive.
+  /// its run time bounded as by `BoundedLogTime`. Does nothing if a duration is
+  /// not positive.
   void Learn(const QueueId& queue, Duration declared, Duration taken);
+  /// Learns how much the run times within a step differ.
+  /// @param squared_deviation of the logarithm of a run time from those of the
+  ///                          same step, see `StepRunTimes::OnFinished`.
+  void LearnDeviation(const QueueId& queue, double squared_deviation);
+
+  /// @returns the estimate for a task with this declared time at full speed.
+  /// @param declared must be positive.
+  RunTimeEstimate Estimate(const QueueId& queue, Duration declared) const;
+  /// @returns the part of the variance of `estimate`, one of this queue, that
+  /// the tasks of one step do not have in common.
+  double VarianceWithinStep(const QueueId& queue,
+                            const RunTimeEstimate& estimate) const;
 
   /// @returns how long a task with this declared time is expected to run at
   /// full speed.
   Duration ExpectedRunTime(const QueueId& queue, Duration declared) const;
 
-  /// @returns a function that estimates the run time of each step of the
-  /// queue's jobs. It refers to this model.
-  RunTimeEstimator EstimatorFor(const QueueId& queue) const;
+  /// @returns what is learned of each queue, for the log.
+  std::string Describe() const;
 
  private:
   /// Exponentially weighted mean and variance of a logarithm.
@@ -55,8 +71,12 @@
     std::size_t count = 0;
     LogStatistics taken;  ///< Of the run time in ms.
     LogStatistics ratio;  ///< Of the run time divided by the declared time.
+    std::size_t deviations = 0;
+    double within = 0;  ///< Mean squared deviation within steps.
   };
 
+  double WeightOfNewest(std::size_t count) const;
+
   RunTimeSettings m_settings;
   std::map<QueueId, QueueStatistics> m_queues;
 };
--- a/packages/ordering/sibling_speeds.h
+++ b/packages/ordering/sibling_speeds.h
@@ -19,7 +19,7 @@
  public:
   /// Records the speed of a task on `host`.
   /// @param step  named by its first task.
-  /// @param speed estimated run time divided by the time taken.
+  /// @param speed in the same unit for all tasks of the step.
   void Observe(const TaskKey& step, const HostId& host, double speed);
 
   /// @returns the median speed of the step's tasks on other hosts than `host`,
--- a/packages/ordering/tests/job_order_test.cc
+++ b/packages/ordering/tests/job_order_test.cc
@@ -16,7 +16,7 @@
                          int chain_ms,
                          double work) {
   return RankingInputs{Duration(objective_ms), Duration(age_ms),
-                       Duration(chain_ms), work};
+                       Duration(chain_ms), Duration(chain_ms), work};
 }
 
 /// A job in the simulation of an overloaded pool of cores.
@@ -87,6 +87,7 @@
     return Duration(static_cast<std::int64_t>(seconds * 1000));
   };
   return RankOf(RankingInputs{ms(kObjectiveSeconds), ms(now - job.arrival),
+                              ms(job.remaining_work / kMaxCoresPerJob),
                               ms(job.remaining_work / kMaxCoresPerJob),
                               job.remaining_work});
 }
--- a/packages/scheduling/job.cc
+++ b/packages/scheduling/job.cc
@@ -364,19 +364,6 @@
   return m_begun ? JobState::kRunning : JobState::kQueued;
 }
 
-double Job::CoreSecondsLeft(const RunTimeEstimator& estimate_time) const {
-  double left = 0;
-  for (const auto& [occurrence, steps] : m_occurrences.open()) {
-    for (std::size_t step = 0; step < steps.size(); ++step) {
-      const StepSpec& declared = spec().steps[step];
-      const auto open = steps[step].tasks.size() - steps[step].done;
-      left += static_cast<double>(open) * declared.demand.cores() *
-              std::chrono::duration<double>(estimate_time(declared)).count();
-    }
-  }
-  return left;
-}
-
 RunNumber Job::NextRun(const TaskKey& key) const {
   const StepTasks& step = At(key.occurrence, key.step);
   if (!spec().steps[key.step].gang) {
--- a/packages/scheduling/job.h
+++ b/packages/scheduling/job.h
@@ -118,9 +118,6 @@
   bool active() const { return !IsTerminal(m_state); }
   /// @returns whether a task has ever been placed.
   bool begun() const { return m_begun; }
-  /// @returns the work of the tasks in open occurrences that are not done, in
-  /// core-seconds, with the run times that `estimate_time` gives.
-  double CoreSecondsLeft(const RunTimeEstimator& estimate_time) const;
   /// @returns the run number for the next start of the task.
   RunNumber NextRun(const TaskKey& key) const;
 
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -29,6 +29,7 @@
   m_crashes.Clear(m_ownership_began);
   m_serving_loads.clear();
   m_siblings.Clear();
+  m_step_times.Clear();
 }
 
 void Scheduler::SetConfiguration(SiteConfiguration configuration) {
@@ -197,6 +198,7 @@
   if (now - m_load_logged_at > m_settings.load_log_interval) {
     m_load_logged_at = now;
     LogLoad();
+    LogRunTimes();
   }
   ForgetEndedJobs();
 }
@@ -219,6 +221,7 @@
   std::erase_if(m_serving_loads,
                 [&id](const auto& entry) { return entry.first.job == id; });
   m_siblings.Forget(id);
+  m_step_times.Forget(id);
   ForgetSuspectsOf(id);
   m_pinned.erase(id);
   m_jobs.erase(id);
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -17,11 +17,13 @@
 #include "jobs/queue.h"
 #include "ordering/run_time_model.h"
 #include "ordering/sibling_speeds.h"
+#include "ordering/step_run_times.h"
 #include "scheduling/crash_history.h"
 #include "scheduling/headroom.h"
 #include "scheduling/host.h"
 #include "scheduling/host_messages.h"
 #include "scheduling/job.h"
+#include "scheduling/job_forecast.h"
 #include "scheduling/placement.h"
 #include "scheduling/scheduler_settings.h"
 #include "scheduling/serving_load.h"
@@ -278,6 +280,19 @@
   /// of an occurrence that is complete with it.
   void FinishTask(Job& job, const TaskRun& finished);
   void LearnRunTime(const Job& job, const HostedRun& run);
+
+  // Run times and order, see `packages/ordering`.
+  /// @returns what is known of steps, nullptr while that is not used.
+  const StepRunTimes* Siblings() const;
+  /// @returns the expected run time of the task.
+  Duration ExpectedTime(const Job& job, const TaskKey& task) const;
+  /// @returns how long ago the occurrence was due, or the job accepted if it
+  /// runs once.
+  Duration AgeOf(const Job& job, std::uint32_t occurrence) const;
+  /// Learns from the progress of a run that its worker lists.
+  void ObserveProgress(const HostedRun& run);
+  /// Logs the run times that are learned, for the load log.
+  void LogRunTimes();
   /// Quarantines the host if too many consecutive failures are its fault, see
   /// `FailuresOfHost`.
   void CountOutcome(Host& host, const TaskRun& id, bool failed);
@@ -370,7 +385,10 @@
   /// `SchedulerSettings::max_waiting_occurrences`.
   void OpenDueOccurrences(Job& job);
   void CollectReadySteps(Job& job, std::vector<ReadyStep>& ready);
-  double UrgencyOf(const Job& job, std::uint32_t step) const;
+  double UrgencyOf(const Job& job,
+                   std::uint32_t occurrence,
+                   std::uint32_t step,
+                   const JobForecast& forecast) const;
   /// @returns the urgency of the step's overdue tasks.
   static double OverdueUrgencyOf(const Job& job, std::uint32_t step);
   /// @returns whether the task is a perpetual one that waits to run again for
@@ -415,6 +433,7 @@
   std::set<DomainId> m_drained_domains;
   InterferenceModel m_interference;
   RunTimeModel m_run_times;
+  StepRunTimes m_step_times;
   SiblingSpeeds m_siblings;
   /// The tasks that are still suspected of each crash, by host and the worker
   /// incarnation that crashed.
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <vector>
 
@@ -23,12 +24,17 @@
   return run.latest.progress_percent / kPercent;
 }
 
-/// @returns the run time of a task with the given estimate that runs at
-/// `speed`, where 1 is the estimated speed.
-Duration TimeAtSpeed(Duration estimate, double speed) {
+/// @returns the speed of a run in tasks per ms. The estimates of a step change
+/// while its tasks run, so that only rates are comparable between hosts.
+/// @param speed 1 where the run takes as long as estimated.
+double RateOf(const HostedRun& run, double speed) {
+  return speed / static_cast<double>(run.estimate.count());
+}
+
+/// @returns the run time of the task at the rate.
+Duration TimeAtRate(const HostedRun& run, double rate) {
   constexpr double kMinSpeed = 0.01;
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(estimate.count()) / std::max(speed, kMinSpeed)));
+  return Duration(std::llround(1 / std::max(rate, RateOf(run, kMinSpeed))));
 }
 
 }  // namespace
@@ -47,12 +53,11 @@
     const Duration elapsed = now - run.started_at;
     if (const auto shown =
             host.health.ObservedSpeed(run.estimate, elapsed, ProgressOf(run))) {
-      m_siblings.Observe(step, host.id(), *shown);
+      m_siblings.Observe(step, host.id(), RateOf(run, *shown));
     }
     if (const auto usual = m_siblings.MedianOnOtherHosts(step, host.id())) {
       compared = true;
-      host.health.OnRunning(TimeAtSpeed(run.estimate, *usual), elapsed,
-                            ProgressOf(run));
+      host.health.OnRunning(TimeAtRate(run, *usual), elapsed, ProgressOf(run));
       continue;
     }
     const HostedRun*& best = without_peers[step];
@@ -73,10 +78,10 @@
   const TaskKey step = run.order.id.task.First();
   if (const auto shown =
           host.health.ObservedSpeed(run.estimate, elapsed, 1.0)) {
-    m_siblings.Observe(step, host.id(), *shown);
+    m_siblings.Observe(step, host.id(), RateOf(run, *shown));
   }
   if (const auto usual = m_siblings.MedianOnOtherHosts(step, host.id())) {
-    host.health.OnFinished(TimeAtSpeed(run.estimate, *usual), elapsed, now);
+    host.health.OnFinished(TimeAtRate(run, *usual), elapsed, now);
   }
 }
 
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 
 #include "ordering/job_order.h"
+#include "scheduling/job_forecast.h"
 #include "scheduling/placement.h"
-#include "scheduling/ranking_inputs.h"
 #include "scheduling/scheduler.h"
 
 namespace zinniacart {
@@ -88,7 +88,7 @@
 }
 
 void Scheduler::CollectReadySteps(Job& job, std::vector<ReadyStep>& ready) {
-  std::vector<std::optional<double>> urgencies(job.spec().steps.size());
+  std::optional<JobForecast> forecast;
   for (const auto& [k, steps] : job.occurrences().open()) {
     if (!IsDue(job, k)) {
       return;
@@ -101,10 +101,11 @@
       if (!pending || !job.Unblocked(k, step)) {
         continue;
       }
-      if (!urgencies[step]) {
-        urgencies[step] = UrgencyOf(job, step);
+      if (!forecast) {
+        forecast.emplace(job, m_run_times, Siblings(), m_clock.Now());
       }
-      ready.push_back(ReadyStep{&job, k, step, *urgencies[step], false});
+      ready.push_back(
+          ReadyStep{&job, k, step, UrgencyOf(job, k, step, *forecast), false});
       const StepSpec& declared = job.spec().steps[step];
       if (std::any_of(tasks.begin(), tasks.end(), [&](const Task& task) {
             return IsOverdue(job, declared, task);
@@ -141,16 +142,17 @@
   return kPriorityWeight * job.policy().priority - SizeOf(job, step);
 }
 
-double Scheduler::UrgencyOf(const Job& job, std::uint32_t step) const {
+double Scheduler::UrgencyOf(const Job& job,
+                            std::uint32_t occurrence,
+                            std::uint32_t step,
+                            const JobForecast& forecast) const {
   const QueuePolicy& policy = job.policy();
   if (job.spec().steps[step].perpetual) {
     return kPriorityWeight * policy.priority + kPerpetualUrgency -
            SizeOf(job, step);
   }
   return kPriorityWeight * policy.priority +
-         RankOf(RankingInputsOf(job, step,
-                                m_run_times.EstimatorFor(job.record().queue),
-                                m_clock.Now()));
+         RankOf(forecast.InputsFor(occurrence, step, AgeOf(job, occurrence)));
 }
 
 void Scheduler::ObserveHeadroom() {
@@ -333,7 +335,7 @@
   job.Place(key, number, Placement{host.id(), host.incarnation}, m_clock.Now());
   task.move_target = {};
   HostedRun run = MakeRun(step);
-  run.estimate = m_run_times.ExpectedRunTime(job.record().queue, step.estimate);
+  run.estimate = ExpectedTime(job, key);
   run.incarnation = host.incarnation;
   run.job_version = job.version();
   if (step.best_effort) {
@@ -350,10 +352,12 @@
     run.trial_until = m_clock.Now() + m_settings.max_trial;
   }
   run.acquits_after = AcquittalOf(task);
+  const Duration run_estimate = run.estimate;
   host.runs.emplace(TaskRun{key, number}, std::move(run));
   m_log({"run placed", TaskRun{key, number}, host.id(),
          std::to_string(step.demand.millicores) + " millicores" +
              (step.best_effort ? " best-effort" : "") + ", estimate " +
+             std::to_string(run_estimate.count()) + " ms, declared " +
              std::to_string(step.estimate.count()) + " ms, age " +
              std::to_string((m_clock.Now() - job.accepted()).count()) + " ms"});
   MarkDirty(job);
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -201,18 +201,6 @@
   }
 }
 
-void Scheduler::LearnRunTime(const Job& job, const HostedRun& run) {
-  const TaskKey& task = run.order.id.task;
-  const bool representative = run.started && run.never_slowed &&
-                              !run.recovered && run.start_deliveries == 1 &&
-                              run.order.resume_from == CheckpointId() &&
-                              task.job == job.id();
-  if (representative && !run.perpetual) {
-    m_run_times.Learn(job.record().queue, job.spec().steps[task.step].estimate,
-                      m_clock.Now() - run.began_at);
-  }
-}
-
 void Scheduler::ApplyUnexpectedEnd(const EndedTask& ended) {
   // Either a duplicate run that only the previous owner knew, or a run that
   // this owner had released. The task is done all the same, and must not start
@@ -230,11 +218,13 @@
 void Scheduler::FinishTask(Job& job, const TaskRun& finished) {
   StopDuplicateRun(job, finished);
   job.Finish(finished.task);
+  m_step_times.Remove(finished.task);
   const std::uint32_t occurrence = finished.task.occurrence;
   if (!job.occurrences().IsComplete(occurrence)) {
     return;
   }
   m_siblings.Forget(job.id(), occurrence);
+  m_step_times.Forget(job.id(), occurrence);
   std::erase_if(m_serving_loads, [&](const auto& entry) {
     return entry.first.job == job.id() && entry.first.occurrence == occurrence;
   });
@@ -345,6 +335,9 @@
     run.recovered = false;
     run.ordered = true;
     run.latest = running;
+    if (new_list) {
+      ObserveProgress(run);
+    }
     if (!unproven.contains(running.id)) {
       OnProven(host, running.id, run);
     }
@@ -419,6 +412,7 @@
   const auto run = host.runs.find(id);
   const bool worked = run != host.runs.end() && run->second.started;
   host.runs.erase(id);
+  m_step_times.Remove(id.task);
   m_log({"run released", id, host.id(), reason});
   Job* job = FindJob(id.task.job);
   if (job == nullptr) {
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -116,6 +116,10 @@
   /// A scheduled occurrence starts this long after its due time, so that a
   /// clock that is ahead does not start it early.
   Duration occurrence_delay{50};
+  /// The run times of a step are estimated from its own tasks too, and what is
+  /// left of running tasks counts for the rank of their job, see
+  /// `StepRunTimes`. Otherwise from the queue alone.
+  bool sibling_run_times = true;
 };
 
 }  // namespace zinniacart
