--- a/packages/ordering/tests/job_order_test.cc
+++ b/packages/ordering/tests/job_order_test.cc
@@ -36,8 +36,11 @@
 
 /// Simulates 40 s of arrivals, with a burst, on a pool of cores that runs the
 /// jobs in order of `rank`.
-/// @returns the share of the work that belongs to jobs that finished in time.
-double Simulate(const Rank& rank, unsigned seed) {
+/// @param late_value what a job is worth that ends late, but within three
+///                   objectives.
+/// @returns the share of the work that belongs to jobs that finished in time,
+/// plus `late_value` times that of the late ones.
+double Simulate(const Rank& rank, unsigned seed, double late_value = 0) {
   std::mt19937 random(seed);
   std::exponential_distribution<double> gap(1.0);
   std::lognormal_distribution<double> size(4.1, 0.7);
@@ -74,22 +77,25 @@
   double all_work = 0;
   for (const SimulatedJob& job : jobs) {
     all_work += job.work;
-    work_in_time += job.finished_at >= 0 &&
-                            job.finished_at - job.arrival <= kObjectiveSeconds
-                        ? job.work
-                        : 0;
+    const double taken = job.finished_at - job.arrival;
+    if (job.finished_at >= 0 && taken <= 3 * kObjectiveSeconds) {
+      work_in_time +=
+          job.work * (taken <= kObjectiveSeconds ? 1.0 : late_value);
+    }
   }
   return work_in_time / all_work;
 }
 
-double RankSimulated(const SimulatedJob& job, double now) {
+double RankSimulated(const SimulatedJob& job,
+                     double now,
+                     const OrderSettings& settings = {}) {
   const auto ms = [](double seconds) {
     return Duration(static_cast<std::int64_t>(seconds * 1000));
   };
+  const Duration chain_left = ms(job.remaining_work / kMaxCoresPerJob);
   return RankOf(RankingInputs{ms(kObjectiveSeconds), ms(now - job.arrival),
-                              ms(job.remaining_work / kMaxCoresPerJob),
-                              ms(job.remaining_work / kMaxCoresPerJob),
-                              job.remaining_work});
+                              chain_left, chain_left, job.remaining_work},
+                settings);
 }
 
 }  // namespace
@@ -127,7 +133,9 @@
   double by_slack = 0;
   constexpr unsigned kSeeds = 10;
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-    ranked += Simulate(RankSimulated, seed);
+    ranked += Simulate([](const SimulatedJob& job,
+                          double now) { return RankSimulated(job, now); },
+                       seed);
     by_deadline += Simulate(
         [](const SimulatedJob& job, double) { return job.arrival; }, seed);
     by_slack += Simulate(
@@ -139,3 +147,47 @@
   CHECK(ranked > 1.3 * by_deadline);
   CHECK(ranked > 1.3 * by_slack);
 }
+
+// Guards against capacity for jobs that are worth nothing any more while others
+// can still end within three objectives, during the same burst.
+TEST(JobOrder, TiersOfLateJobsGainValueDuringABurst) {
+  double with_tiers = 0;
+  double without = 0;
+  constexpr unsigned kSeeds = 10;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    const auto simulate = [seed](bool late_tiers) {
+      return Simulate(
+          [late_tiers](const SimulatedJob& job, double now) {
+            return RankSimulated(job, now, OrderSettings{late_tiers});
+          },
+          seed, 0.15);
+    };
+    with_tiers += simulate(true);
+    without += simulate(false);
+  }
+  CHECK(with_tiers > without);
+}
+
+TEST(JobOrder, JobsWithinThreeObjectivesComeBeforeLaterOnes) {
+  const RankingInputs within = MakeInputs(10000, 20000, 1000, 500);
+  const RankingInputs later = MakeInputs(10000, 40000, 1000, 1);
+  CHECK(TierOf(within) == OrderTier::kWithinThree);
+  CHECK(TierOf(later) == OrderTier::kLater);
+  CHECK(RankOf(within) < RankOf(later));
+}
+
+// Guards against a large late job that waits for ever behind small ones.
+TEST(JobOrder, AgeOutweighsWorkAmongLateJobs) {
+  CHECK(RankOf(MakeInputs(1000, 300000, 1000, 700)) <
+        RankOf(MakeInputs(1000, 5000, 1000, 1)));
+  CHECK(RankOf(MakeInputs(1000, 20000, 1000, 700)) >
+        RankOf(MakeInputs(1000, 5000, 1000, 1)));
+}
+
+// Guards against a rank that reaches into the next tier.
+TEST(JobOrder, HugeWorkAndAgeStayWithinTheTier) {
+  CHECK(RankOf(MakeInputs(10000, 0, 1000, 1e9)) <
+        RankOf(MakeInputs(10000, 20000, 1000, 1)));
+  CHECK(RankOf(MakeInputs(10000, 20000, 1000, 1e9)) <
+        RankOf(MakeInputs(10000, 1000000000, 1000, 1)));
+}
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -1,6 +1,7 @@
 #include "scheduling/scheduler.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "scheduling/interference_record.h"
@@ -253,24 +254,33 @@
     }
   }
   std::size_t waiting = 0;
+  std::array<std::size_t, 3> waiting_by_tier{};
   for (const ReadyStep& ready : ReadySteps()) {
     if (ready.overdue) {
       continue;  // Its tasks are also counted with the other ones of the step.
     }
     const auto& tasks = ready.job->At(ready.occurrence, ready.step).tasks;
-    waiting += static_cast<std::size_t>(std::count_if(
+    const auto pending = static_cast<std::size_t>(std::count_if(
         tasks.begin(), tasks.end(),
         [](const Task& task) { return task.phase == TaskPhase::kPending; }));
+    waiting += pending;
+    if (ready.tier) {
+      waiting_by_tier.at(static_cast<std::size_t>(*ready.tier)) += pending;
+    }
   }
   m_log({"load",
          {},
          {},
-         std::to_string(waiting) + " tasks pending, " + std::to_string(free) +
-             " millicores free, " + std::to_string(idle) +
-             " idle millicores, " + std::to_string(best_effort_use) +
-             " used by best-effort tasks, " + std::to_string(halted) +
-             " best-effort tasks halted, " + std::to_string(CountHeldTasks()) +
-             " tasks held of " + std::to_string(m_jobs.size()) + " jobs"});
+         std::to_string(waiting) + " tasks pending (" +
+             std::to_string(waiting_by_tier[0]) + " in time, " +
+             std::to_string(waiting_by_tier[1]) + " within three objectives, " +
+             std::to_string(waiting_by_tier[2]) + " later), " +
+             std::to_string(free) + " millicores free, " +
+             std::to_string(idle) + " idle millicores, " +
+             std::to_string(best_effort_use) + " used by best-effort tasks, " +
+             std::to_string(halted) + " best-effort tasks halted, " +
+             std::to_string(CountHeldTasks()) + " tasks held of " +
+             std::to_string(m_jobs.size()) + " jobs"});
 }
 
 void Scheduler::SaveCheckpoints() {
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -15,6 +15,7 @@
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/queue.h"
+#include "ordering/job_order.h"
 #include "ordering/run_time_model.h"
 #include "ordering/sibling_speeds.h"
 #include "ordering/step_run_times.h"
@@ -181,6 +182,8 @@
     std::uint32_t step;
     double urgency;  ///< Smaller values are placed first.
     bool overdue;    ///< Includes only the overdue tasks, see `IsOverdue`.
+    /// Empty for perpetual steps.
+    std::optional<OrderTier> tier{};
   };
 
   /// A FIFO queue of jobs that holds each job at most once.
@@ -385,10 +388,10 @@
   /// `SchedulerSettings::max_waiting_occurrences`.
   void OpenDueOccurrences(Job& job);
   void CollectReadySteps(Job& job, std::vector<ReadyStep>& ready);
-  double UrgencyOf(const Job& job,
-                   std::uint32_t occurrence,
-                   std::uint32_t step,
-                   const JobForecast& forecast) const;
+  ReadyStep RankStep(Job& job,
+                     std::uint32_t occurrence,
+                     std::uint32_t step,
+                     const JobForecast& forecast) const;
   /// @returns the urgency of the step's overdue tasks.
   static double OverdueUrgencyOf(const Job& job, std::uint32_t step);
   /// @returns whether the task is a perpetual one that waits to run again for
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -104,8 +104,7 @@
       if (!forecast) {
         forecast.emplace(job, m_run_times, Siblings(), m_clock.Now());
       }
-      ready.push_back(
-          ReadyStep{&job, k, step, UrgencyOf(job, k, step, *forecast), false});
+      ready.push_back(RankStep(job, k, step, *forecast));
       const StepSpec& declared = job.spec().steps[step];
       if (std::any_of(tasks.begin(), tasks.end(), [&](const Task& task) {
             return IsOverdue(job, declared, task);
@@ -142,17 +141,20 @@
   return kPriorityWeight * job.policy().priority - SizeOf(job, step);
 }
 
-double Scheduler::UrgencyOf(const Job& job,
-                            std::uint32_t occurrence,
-                            std::uint32_t step,
-                            const JobForecast& forecast) const {
-  const QueuePolicy& policy = job.policy();
+Scheduler::ReadyStep Scheduler::RankStep(Job& job,
+                                         std::uint32_t occurrence,
+                                         std::uint32_t step,
+                                         const JobForecast& forecast) const {
+  const double priority = kPriorityWeight * job.policy().priority;
   if (job.spec().steps[step].perpetual) {
-    return kPriorityWeight * policy.priority + kPerpetualUrgency -
-           SizeOf(job, step);
+    return {&job, occurrence, step,
+            priority + kPerpetualUrgency - SizeOf(job, step), false};
   }
-  return kPriorityWeight * policy.priority +
-         RankOf(forecast.InputsFor(occurrence, step, AgeOf(job, occurrence)));
+  const RankingInputs inputs =
+      forecast.InputsFor(occurrence, step, AgeOf(job, occurrence));
+  return {&job,  occurrence,
+          step,  priority + RankOf(inputs, m_settings.order),
+          false, TierOf(inputs)};
 }
 
 void Scheduler::ObserveHeadroom() {
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "ordering/job_order.h"
 
 namespace zinniacart {
 
@@ -120,6 +121,7 @@
   /// left of running tasks counts for the rank of their job, see
   /// `StepRunTimes`. Otherwise from the queue alone.
   bool sibling_run_times = true;
+  OrderSettings order;
 };
 
 }  // namespace zinniacart
