--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -61,7 +61,8 @@
   /// When it began, for its run time. Earlier than `started_at` where the
   /// report that showed the start was late.
   Instant began_at;
-  RunningTask latest;  ///< As the worker last listed it.
+  RunningTask latest;     ///< As the worker last listed it.
+  int saved_percent = 0;  ///< Progress when its checkpoint last changed.
   /// A serving task: the margin it is expected to have without best-effort
   /// work once a new pace takes effect; empty before its first measurement.
   std::optional<double> expected_margin;
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -199,7 +199,7 @@
   if (now - m_load_logged_at > m_settings.load_log_interval) {
     m_load_logged_at = now;
     LogLoad();
-    LogRunTimes();
+    LogOrder();
   }
   ForgetEndedJobs();
 }
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -16,6 +16,7 @@
 #include "jobs/job_state.h"
 #include "jobs/queue.h"
 #include "ordering/job_order.h"
+#include "ordering/preemption.h"
 #include "ordering/run_time_model.h"
 #include "ordering/sibling_speeds.h"
 #include "ordering/step_run_times.h"
@@ -294,8 +295,8 @@
   Duration AgeOf(const Job& job, std::uint32_t occurrence) const;
   /// Learns from the progress of a run that its worker lists.
   void ObserveProgress(const HostedRun& run);
-  /// Logs the run times that are learned, for the load log.
-  void LogRunTimes();
+  /// Logs what is learned of run times and done for the order of work.
+  void LogOrder();
   /// Quarantines the host if too many consecutive failures are its fault, see
   /// `FailuresOfHost`.
   void CountOutcome(Host& host, const TaskRun& id, bool failed);
@@ -404,6 +405,22 @@
   void PlaceTask(Job& job, const TaskKey& key, Host& host);
   static HostedRun MakeRun(const StepSpec& step);
 
+  // Preemption, see `ChoosePreemptions`.
+  struct PreemptionRound;
+  /// Stops late work in favour of pending tasks of jobs that can be in time.
+  /// Must be called after all tasks that fit are placed.
+  void PreemptLateWork(const std::vector<ReadyStep>& ready_steps);
+  void AddWaiting(const ReadyStep& ready, PreemptionRound& round) const;
+  /// Adds the hosts of the service with the runs that may be stopped there.
+  void AddCandidates(const ServiceId& service, PreemptionRound& round);
+  /// @param job of the run, may be nullptr.
+  bool IsPreemptible(Job* job, const TaskRun& id, const HostedRun& run) const;
+  /// @returns whether placement accepts a task of the demand on the host after
+  /// the stops. If so, the task counts as placed there in `round`.
+  bool AcceptsAfterPreemption(PreemptionRound& round,
+                              const Preemption& proposed) const;
+  void Preempt(const PreemptionRound& round, const Preemption& preemption);
+
   // Jobs.
   void StopTasksOf(Job& job);
   /// Forgets the ended jobs whose retention is over.
@@ -448,6 +465,8 @@
   Instant m_checkpoints_saved_at;
   Instant m_load_logged_at;
   Instant m_consolidated_at;
+  Instant m_preempted_at;
+  std::uint64_t m_preempted_runs = 0;  ///< In this process, for the load log.
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<HostId, Host> m_hosts;
   JobQueue m_dirty;
--- a/packages/scheduling/scheduler_placement.cc
+++ b/packages/scheduling/scheduler_placement.cc
@@ -57,6 +57,7 @@
       PlaceStep(ready, index);
     }
   }
+  PreemptLateWork(ready_steps);
 }
 
 std::vector<Scheduler::ReadyStep> Scheduler::ReadySteps() {
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -334,6 +334,9 @@
     }
     run.recovered = false;
     run.ordered = true;
+    if (run.latest.checkpoint != running.checkpoint) {
+      run.saved_percent = running.progress_percent;
+    }
     run.latest = running;
     if (new_list) {
       ObserveProgress(run);
--- a/packages/scheduling/scheduler_run_times.cc
+++ b/packages/scheduling/scheduler_run_times.cc
@@ -72,11 +72,12 @@
   }
 }
 
-void Scheduler::LogRunTimes() {
-  m_log({"run times",
+void Scheduler::LogOrder() {
+  m_log({"order of work",
          {},
          {},
-         std::to_string(m_step_times.size()) + " steps with known tasks, " +
+         std::to_string(m_preempted_runs) + " runs preempted so far, " +
+             std::to_string(m_step_times.size()) + " steps with known tasks, " +
              m_run_times.Describe()});
 }
 
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -122,6 +122,13 @@
   /// `StepRunTimes`. Otherwise from the queue alone.
   bool sibling_run_times = true;
   OrderSettings order;
+  /// Runs of late jobs that save checkpoints are stopped where pending tasks of
+  /// jobs that can be in time fit nowhere, at most once per interval: the
+  /// effect of the last stops is seen by then. A run that was just started is
+  /// not stopped, as its start would be lost.
+  bool preempt_late_work = true;
+  Duration preemption_interval{300};
+  Duration min_run_before_preemption{1000};
 };
 
 }  // namespace zinniacart
