--- a/packages/ordering/step_run_times.cc
+++ b/packages/ordering/step_run_times.cc
@@ -37,6 +37,7 @@
 void StepRunTimes::Step::Summarize() {
   StepObservation& sum = observation;
   sum = {};
+  sum.finished = finished;
   sum.samples = static_cast<double>(finished);
   sum.longest = longest_finished;
   sum.running = running.size();
@@ -121,6 +122,23 @@
   return found == m_steps.end() ? nullptr : &found->second.observation;
 }
 
+StepObservation StepRunTimes::SiblingsOf(const TaskKey& task) const {
+  const auto step = m_steps.find(task.First());
+  if (step == m_steps.end()) {
+    return {};
+  }
+  StepObservation others = step->second.observation;
+  const auto own = step->second.running.find(task.index);
+  if (own == step->second.running.end() || own->second.weight <= 0) {
+    return others;
+  }
+  const double log_sum = others.samples * others.mean_log_ms -
+                         own->second.weight * own->second.log_ms;
+  others.samples = std::max(0.0, others.samples - own->second.weight);
+  others.mean_log_ms = others.samples > 0 ? log_sum / others.samples : 0;
+  return others;
+}
+
 void StepRunTimes::Forget(const JobId& job, std::uint32_t occurrence) {
   auto step = m_steps.lower_bound(TaskKey{job, occurrence, 0, 0});
   while (step != m_steps.end() && step->first.job == job &&
--- a/packages/ordering/step_run_times.h
+++ b/packages/ordering/step_run_times.h
@@ -27,11 +27,12 @@
   /// How many run times it is worth: a running task counts for less than a
   /// finished one.
   double samples = 0;
-  double mean_log_ms = 0;   ///< Of those run times.
-  Duration longest{0};      ///< Longest run time of a representative task.
-  std::size_t running = 0;  ///< Tasks whose progress is known.
-  double running_done = 0;  ///< Sum of their completed shares.
-  Instant last_end;         ///< When the last of them is expected to end.
+  std::size_t finished = 0;  ///< Representative tasks that have ended.
+  double mean_log_ms = 0;    ///< Of those run times.
+  Duration longest{0};       ///< Longest run time of a representative task.
+  std::size_t running = 0;   ///< Tasks whose progress is known.
+  double running_done = 0;   ///< Sum of their completed shares.
+  Instant last_end;          ///< When the last of them is expected to end.
 };
 
 /// Estimates the run time of the tasks of each step from those that have ended
@@ -63,6 +64,9 @@
   /// @param step named by its first task.
   const StepObservation* Find(const TaskKey& step) const;
 
+  /// @returns the samples of the siblings of a task, without its own progress.
+  StepObservation SiblingsOf(const TaskKey& task) const;
+
   /// Drops the steps of an occurrence that is complete.
   void Forget(const JobId& job, std::uint32_t occurrence);
   /// Drops the steps of a job that has ended.
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -31,6 +31,7 @@
   m_serving_loads.clear();
   m_siblings.Clear();
   m_step_times.Clear();
+  m_copied.clear();
 }
 
 void Scheduler::SetConfiguration(SiteConfiguration configuration) {
@@ -133,6 +134,7 @@
 }
 
 void Scheduler::StopTasksOf(Job& job) {
+  StopOriginalsOf(job.id());
   job.ForEachTask([&](const TaskKey& key, Task& task) {
     if (!task.placed()) {
       return;
@@ -188,6 +190,7 @@
   }
   DuplicateRunsOfUnresponsiveHosts();
   MoveHaltedRuns();
+  MitigateStragglers();
   if (now - m_checkpoints_saved_at > m_settings.checkpoint_interval) {
     m_checkpoints_saved_at = now;
     SaveCheckpoints();
@@ -223,6 +226,7 @@
                 [&id](const auto& entry) { return entry.first.job == id; });
   m_siblings.Forget(id);
   m_step_times.Forget(id);
+  StopOriginalsOf(id);
   ForgetSuspectsOf(id);
   m_pinned.erase(id);
   m_jobs.erase(id);
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -405,6 +406,26 @@
   void PlaceTask(Job& job, const TaskKey& key, Host& host);
   static HostedRun MakeRun(const StepSpec& step);
 
+  // Stragglers, see `IsStraggler`.
+  /// Starts copies of stragglers, or moves them where copies are not allowed.
+  void MitigateStragglers();
+  /// @returns whether the tasks of the host are about as fast as elsewhere, so
+  /// that a run that takes long there has more work than others.
+  bool IsKnownToBeSound(const Host& host) const;
+  bool IsStragglingRun(const Host& host,
+                       const TaskRun& id,
+                       const HostedRun& run);
+  void Mitigate(const TaskRun& id, Host& host, PlacementIndex& index);
+  /// @returns whether one more copy leaves the copies within their share of the
+  /// service's processors.
+  bool MayCopy(const ServiceId& service, const StepSpec& step);
+  /// Stops the run of which a copy was started, unless it is `finished`, and
+  /// forgets the copy.
+  void StopOriginal(const TaskKey& task, RunNumber finished);
+  void StopOriginalsOf(const JobId& job);
+  /// @returns the progress of the run as its worker last listed it.
+  TaskProgress ProgressOfRun(const HostedRun& run) const;
+
   // Preemption, see `ChoosePreemptions`.
   struct PreemptionRound;
   /// Stops late work in favour of pending tasks of jobs that can be in time.
@@ -465,6 +486,11 @@
   Instant m_checkpoints_saved_at;
   Instant m_load_logged_at;
   Instant m_consolidated_at;
+  /// Tasks with a copy beside their straggling run, and that run and its host.
+  std::map<TaskKey, std::pair<RunNumber, HostId>> m_copied;
+  Instant m_stragglers_checked_at;
+  std::uint64_t m_copied_stragglers = 0;  ///< In this process.
+  std::uint64_t m_moved_stragglers = 0;
   Instant m_preempted_at;
   std::uint64_t m_preempted_runs = 0;  ///< In this process, for the load log.
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -251,10 +251,13 @@
                         HostedRun& run) {
   host.OrderStop(run);
   Task* task = job.Find(key);
-  if (task == nullptr) {
+  const auto copied = m_copied.find(key);
+  const bool copies = copied != m_copied.end();
+  if (task == nullptr ||
+      (copies && run.order.id == TaskRun{key, copied->second.first})) {
     return;
   }
-  if (!job.active() || !job.spec().steps[key.step].speculative ||
+  if (copies || !job.active() || !job.spec().steps[key.step].speculative ||
       MayHaveCrashed(host, run)) {
     task->phase = TaskPhase::kStopping;
     return;
@@ -266,6 +269,7 @@
 }
 
 void Scheduler::StopDuplicateRun(Job& job, const TaskRun& finished) {
+  StopOriginal(finished.task, finished.run);
   const Task* task = job.Find(finished.task);
   if (task == nullptr || task->run == finished.run) {
     return;
@@ -295,7 +299,7 @@
     for (auto& [id, run] : host.runs) {
       Job* job = FindJob(id.task.job);
       if (job == nullptr || !job->active() || run.stopping ||
-          MayHaveCrashed(host, run) ||
+          MayHaveCrashed(host, run) || m_copied.contains(id.task) ||
           !job->spec().steps[id.task.step].speculative) {
         continue;
       }
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -415,6 +415,10 @@
   const auto run = host.runs.find(id);
   const bool worked = run != host.runs.end() && run->second.started;
   host.runs.erase(id);
+  if (const auto copied = m_copied.find(id.task);
+      copied != m_copied.end() && copied->second.first == id.run) {
+    m_copied.erase(copied);
+  }
   m_step_times.Remove(id.task);
   m_log({"run released", id, host.id(), reason});
   Job* job = FindJob(id.task.job);
--- a/packages/scheduling/scheduler_run_times.cc
+++ b/packages/scheduling/scheduler_run_times.cc
@@ -50,11 +50,13 @@
     return;
   }
   const Duration declared = job->spec().steps[id.task.step].estimate;
-  const Instant now = m_clock.Now();
-  m_step_times.OnRunning(id.task,
-                         {now - run.began_at, run.latest.progress_percent,
-                          FromBeginning(run), IsRepresentative(run)},
-                         declared, run.estimate, now);
+  m_step_times.OnRunning(id.task, ProgressOfRun(run), declared, run.estimate,
+                         m_clock.Now());
+}
+
+TaskProgress Scheduler::ProgressOfRun(const HostedRun& run) const {
+  return {m_clock.Now() - run.began_at, run.latest.progress_percent,
+          FromBeginning(run), IsRepresentative(run)};
 }
 
 void Scheduler::LearnRunTime(const Job& job, const HostedRun& run) {
@@ -76,7 +78,10 @@
   m_log({"order of work",
          {},
          {},
-         std::to_string(m_preempted_runs) + " runs preempted so far, " +
+         std::to_string(m_preempted_runs) + " runs preempted, " +
+             std::to_string(m_copied_stragglers) + " stragglers copied, " +
+             std::to_string(m_moved_stragglers) + " moved so far; " +
+             std::to_string(m_copied.size()) + " copies, " +
              std::to_string(m_step_times.size()) + " steps with known tasks, " +
              m_run_times.Describe()});
 }
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "ordering/job_order.h"
+#include "ordering/stragglers.h"
 
 namespace zinniacart {
 
@@ -129,6 +130,7 @@
   bool preempt_late_work = true;
   Duration preemption_interval{300};
   Duration min_run_before_preemption{1000};
+  StragglerSettings stragglers;
 };
 
 }  // namespace zinniacart
