--- a/packages/ordering/run_time_model.cc
+++ b/packages/ordering/run_time_model.cc
@@ -5,7 +5,7 @@
 
 namespace zinniacart {
 
-void RunTimeModel::LogStatistics::Add(double value, double weight) {
+void LogStatistics::Add(double value, double weight) {
   const double difference = value - mean;
   mean += weight * difference;
   variance = (1 - weight) * (variance + weight * difference * difference);
@@ -21,7 +21,7 @@
   if (declared.count() <= 0 || taken.count() <= 0) {
     return;
   }
-  QueueStatistics& runs = m_queues[queue];
+  QueueRunTimes& runs = m_queues[queue];
   ++runs.count;
   const double weight = WeightOfNewest(runs.count);
   const double log_taken = BoundedLogTime(taken, declared);
@@ -32,7 +32,7 @@
 
 void RunTimeModel::LearnDeviation(const QueueId& queue,
                                   double squared_deviation) {
-  QueueStatistics& runs = m_queues[queue];
+  QueueRunTimes& runs = m_queues[queue];
   ++runs.deviations;
   runs.within +=
       WeightOfNewest(runs.deviations) * (squared_deviation - runs.within);
@@ -45,7 +45,7 @@
   if (found == m_queues.end() || found->second.count < m_settings.min_runs) {
     return {log_declared, m_settings.assumed_variance};
   }
-  const QueueStatistics& runs = found->second;
+  const QueueRunTimes& runs = found->second;
   const double usual_weight =
       1 / std::max(m_settings.min_variance, runs.taken.variance);
   const double declared_weight =
@@ -75,6 +75,13 @@
   return declared.count() <= 0 ? declared : Estimate(queue, declared).Median();
 }
 
+void RunTimeModel::Restore(const QueueId& queue, const QueueRunTimes& runs) {
+  QueueRunTimes& known = m_queues[queue];
+  if (known.count < runs.count) {
+    known = runs;
+  }
+}
+
 std::string RunTimeModel::Describe() const {
   constexpr std::size_t kMaxListed = 16;
   std::string text = std::to_string(m_queues.size()) + " queues";
--- a/packages/ordering/run_time_model.h
+++ b/packages/ordering/run_time_model.h
@@ -26,6 +26,23 @@
   double assumed_common_share = 0.2;
 };
 
+/// Exponentially weighted mean and variance of a logarithm.
+struct LogStatistics {
+  double mean = 0;
+  double variance = 0;
+
+  void Add(double value, double weight);
+};
+
+/// What is known of the run times of one queue.
+struct QueueRunTimes {
+  std::size_t count = 0;
+  LogStatistics taken;  ///< Of the run time in ms.
+  LogStatistics ratio;  ///< Of the run time divided by the declared time.
+  std::size_t deviations = 0;
+  double within = 0;  ///< Mean squared deviation within steps.
+};
+
 /// Learns how long the tasks of a queue run, and how accurate the declared
 /// times are. An estimate combines the declared time, corrected by its usual
 /// error, with the queue's usual run time; each is weighted by the inverse
@@ -56,29 +73,18 @@
   /// full speed.
   Duration ExpectedRunTime(const QueueId& queue, Duration declared) const;
 
+  const std::map<QueueId, QueueRunTimes>& queues() const { return m_queues; }
+  /// Takes over the statistics of a queue, unless more of its runs are known.
+  void Restore(const QueueId& queue, const QueueRunTimes& runs);
+
   /// @returns what is learned of each queue, for the log.
   std::string Describe() const;
 
  private:
-  /// Exponentially weighted mean and variance of a logarithm.
-  struct LogStatistics {
-    double mean = 0;
-    double variance = 0;
-
-    void Add(double value, double weight);
-  };
-  struct QueueStatistics {
-    std::size_t count = 0;
-    LogStatistics taken;  ///< Of the run time in ms.
-    LogStatistics ratio;  ///< Of the run time divided by the declared time.
-    std::size_t deviations = 0;
-    double within = 0;  ///< Mean squared deviation within steps.
-  };
-
   double WeightOfNewest(std::size_t count) const;
 
   RunTimeSettings m_settings;
-  std::map<QueueId, QueueStatistics> m_queues;
+  std::map<QueueId, QueueRunTimes> m_queues;
 };
 
 }  // namespace zinniacart
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -171,6 +171,9 @@
   const std::map<HostId, Host>& hosts() const { return m_hosts; }
   const InterferenceModel& interference() const { return m_interference; }
   const RunTimeModel& run_times() const { return m_run_times; }
+  /// Adds what an earlier owner had learned about run times.
+  /// @returns the errors of `::RestoreRunTimes`.
+  Result<void> RestoreRunTimes(const std::string& bytes);
   /// Adds what an earlier owner had learned about interference.
   /// @returns the errors of `::RestoreInterference`.
   Result<void> RestoreInterference(const std::string& bytes);
--- a/packages/scheduling/scheduler_run_times.cc
+++ b/packages/scheduling/scheduler_run_times.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "ordering/run_time_record.h"
 #include "scheduling/scheduler.h"
 
 namespace zinniacart {
@@ -18,6 +19,10 @@
 
 }  // namespace
 
+Result<void> Scheduler::RestoreRunTimes(const std::string& bytes) {
+  return zinniacart::RestoreRunTimes(bytes, m_run_times);
+}
+
 const StepRunTimes* Scheduler::Siblings() const {
   return m_settings.sibling_run_times ? &m_step_times : nullptr;
 }
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -122,6 +122,8 @@
   /// left of running tasks counts for the rank of their job, see
   /// `StepRunTimes`. Otherwise from the queue alone.
   bool sibling_run_times = true;
+  /// The statistics of run times are stored for the next owner.
+  bool hand_over_run_times = true;
   OrderSettings order;
   /// Runs of late jobs that save checkpoints are stopped where pending tasks of
   /// jobs that can be in time fit nowhere, at most once per interval: the
--- a/packages/site/interference_archive.h
+++ b/packages/site/learned_archive.h
@@ -3,24 +3,34 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "base/clock.h"
 #include "site/store_port.h"
 
 namespace zinniacart {
 
-/// Keeps what the owner has learned about interference in the store, so that
-/// its successor need not measure each pair of images again. Losing a record
+/// Keeps what the owner has learned about one subject in the store, so that its
+/// successor need not measure it again: how each pair of images interferes, how
+/// long the tasks of each queue run. Losing a record
 /// costs some seconds of learning, so nothing waits for it and nothing is
 /// repeated: the next record follows after `kSaveInterval`.
-class InterferenceArchive final {
+class LearnedArchive final {
  public:
   /// A record takes 20 KB, and 50 KB with the longest names of images, so that
-  /// it costs 5 to 13 KB/s at most.
+  /// it costs 5 to 13 KB/s at most; that of run times 5 KB/s.
   static constexpr Duration kSaveInterval{4000};
 
-  InterferenceArchive(StorePort& store, const Clock& clock)
-      : m_store(store), m_clock(clock) {}
+  /// @param key     of the record in the store.
+  /// @param subject what is learned, for the log.
+  LearnedArchive(StorePort& store,
+                 const Clock& clock,
+                 std::string key,
+                 std::string subject)
+      : m_store(store),
+        m_clock(clock),
+        m_key(std::move(key)),
+        m_subject(std::move(subject)) {}
 
   /// Reads the last record, once in a term.
   /// @param term     the result is dropped if the term has ended meanwhile.
@@ -39,6 +49,8 @@
  private:
   StorePort& m_store;
   const Clock& m_clock;
+  const std::string m_key;
+  const std::string m_subject;
   Instant m_saved_at;
 };
 
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "ordering/run_time_record.h"
 #include "scheduling/interference_record.h"
 #include "site/entry_directory.h"
 #include "site/peer_paths.h"
@@ -63,7 +64,8 @@
       m_clock(clock),
       m_ownership(m_settings.self, m_settings.ownership, Duration(0), clock),
       m_scheduler(m_settings.scheduler, clock, LogDecisions()),
-      m_archive(store, clock),
+      m_archive(store, clock, store_keys::kInterference, "interference"),
+      m_run_times(store, clock, store_keys::kRunTimes, "run times"),
       m_tick_timer(loop),
       m_round_timer(loop),
       m_store_retry(loop) {}
@@ -78,6 +80,7 @@
     m_scheduler.OnTick();
     ScheduleRound();
     SaveInterference();
+    SaveRunTimes();
   }
   m_tick_timer.After(kTickInterval, [this] { Tick(); });
 }
@@ -229,6 +232,7 @@
   m_write_in_flight = false;
   LoadProgress();
   LoadInterference();
+  LoadRunTimes();
 }
 
 void Owner::LoadInterference() {
@@ -253,6 +257,32 @@
   });
 }
 
+void Owner::LoadRunTimes() {
+  if (!m_settings.scheduler.hand_over_run_times) {
+    return;
+  }
+  m_run_times.Load(m_term, [this](const std::string& bytes) {
+    const auto restored = m_scheduler.RestoreRunTimes(bytes);
+    if (!restored) {
+      return LogWarning("learned run times are not used",
+                        {{"detail", restored.error().detail}});
+    }
+    LogInfo("learned run times loaded",
+            {{"epoch", m_ownership.epoch().value()},
+             {"queues", m_scheduler.run_times().queues().size()}});
+  });
+}
+
+void Owner::SaveRunTimes() {
+  if (!m_settings.scheduler.hand_over_run_times ||
+      m_scheduler.run_times().queues().empty()) {
+    return;
+  }
+  m_run_times.SaveIfDue(m_ownership.epoch_revision(), [this] {
+    return EncodeRunTimes(m_scheduler.run_times());
+  });
+}
+
 void Owner::LoadProgress() {
   m_store.List(
       store_keys::kProgressPrefix, kListTimeout,
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -11,7 +11,7 @@
 #include "scheduling/ownership.h"
 #include "scheduling/scheduler.h"
 #include "site/host_link.h"
-#include "site/interference_archive.h"
+#include "site/learned_archive.h"
 #include "site/peer_clients.h"
 #include "site/prefix_follower.h"
 #include "site/store_port.h"
@@ -113,6 +113,9 @@
   /// Takes over what the previous owner had learned about interference.
   void LoadInterference();
   void SaveInterference();
+  /// Takes over what the previous owner had learned about run times.
+  void LoadRunTimes();
+  void SaveRunTimes();
   void OnWorkSnapshot(const StoreSnapshot& snapshot);
   void OnWorkEvent(const StoreEvent& event);
   void ApplyWorkItem(const StoreItem& item);
@@ -150,7 +153,8 @@
   const Clock& m_clock;
   Ownership m_ownership;
   Scheduler m_scheduler;
-  InterferenceArchive m_archive;
+  LearnedArchive m_archive;
+  LearnedArchive m_run_times;
   /// Follows jobs, cancellations and hosts in the store during a term.
   std::unique_ptr<PrefixFollower> m_work;
   std::map<HostId, std::unique_ptr<HostLink>> m_links;
--- a/packages/site/store_keys.h
+++ b/packages/site/store_keys.h
@@ -21,6 +21,8 @@
 
 /// What the owner has learned about interference, for its successor.
 inline const std::string kInterference = "zinniacart/learned/interference";
+/// What the owner has learned about the run times of each queue.
+inline const std::string kRunTimes = "zinniacart/learned/run-times";
 
 /// Progress of each job, written by the owner alone.
 inline const std::string kProgressPrefix = "zinniacart/progress/";
--- a/packages/site/tests/interference_archive_test.cc
+++ b/packages/site/tests/learned_archive_test.cc
@@ -1,4 +1,4 @@
-#include "site/interference_archive.h"
+#include "site/learned_archive.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -51,10 +51,11 @@
 
 }  // namespace
 
-TEST_GROUP(InterferenceArchive) {
+TEST_GROUP(LearnedArchive) {
   RecordStore store;
   ManualClock clock;
-  InterferenceArchive archive{store, clock};
+  LearnedArchive archive{store, clock, store_keys::kInterference,
+                         "interference"};
   std::shared_ptr<int> term = std::make_shared<int>(0);
   std::optional<std::string> loaded;
 
@@ -66,49 +67,50 @@
   }
 };
 
-TEST(InterferenceArchive, RecordReachesTheNewOwner) {
+TEST(LearnedArchive, RecordReachesTheNewOwner) {
   Load();
   store.Answer(StoreItem{store_keys::kInterference, "record", 3});
   STRCMP_EQUAL("record", loaded.value_or("").c_str());
 }
 
-TEST(InterferenceArchive, OwnerThatLostItsTermIgnoresTheRecord) {
+TEST(LearnedArchive, OwnerThatLostItsTermIgnoresTheRecord) {
   Load();
   term.reset();
   store.Answer(StoreItem{store_keys::kInterference, "record", 3});
   CHECK_FALSE(loaded.has_value());
 }
 
-TEST(InterferenceArchive, StoreThatCannotBeReadGivesNoRecord) {
+TEST(LearnedArchive, StoreThatCannotBeReadGivesNoRecord) {
   Load();
   store.Answer(Fail(ErrorCode::kStoreUnavailable, "the store is down"));
   CHECK_FALSE(loaded.has_value());
 }
 
-TEST(InterferenceArchive, RecordOfADeposedOwnerIsConditional) {
-  clock.Advance(InterferenceArchive::kSaveInterval);
+TEST(LearnedArchive, RecordOfADeposedOwnerIsConditional) {
+  clock.Advance(LearnedArchive::kSaveInterval);
   Save("record");
   LONGS_EQUAL(1, store.commits.size());
   const StoreTransaction& commit = store.commits.at(0);
   STRCMP_EQUAL(store_keys::kEpoch.c_str(), commit.conditions.at(0).key.c_str());
   LONGS_EQUAL(kEpochRevision, commit.conditions.at(0).revision);
+  STRCMP_EQUAL(store_keys::kInterference.c_str(),
+               commit.writes.at(0).key.c_str());
   STRCMP_EQUAL("record", commit.writes.at(0).value.c_str());
 }
 
 // Guards against a new owner that knows nothing yet and writes that over what
 // its predecessor had learned, before it has read it.
-TEST(InterferenceArchive, FirstRecordOfATermFollowsTheRead) {
-  clock.Advance(InterferenceArchive::kSaveInterval);
+TEST(LearnedArchive, FirstRecordOfATermFollowsTheRead) {
+  clock.Advance(LearnedArchive::kSaveInterval);
   Load();
   Save("nothing learned");
   LONGS_EQUAL(0, store.commits.size());
 }
 
-TEST(InterferenceArchive, RecordsAreWrittenAtIntervals) {
+TEST(LearnedArchive, RecordsAreWrittenAtIntervals) {
   constexpr int kIntervals = 5;
   constexpr Duration kTick{50};
-  for (Duration passed{0};
-       passed < kIntervals * InterferenceArchive::kSaveInterval;
+  for (Duration passed{0}; passed < kIntervals * LearnedArchive::kSaveInterval;
        passed += kTick) {
     clock.Advance(kTick);
     Save("record");
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -117,6 +117,8 @@
             "zinniacart/entries/owner": [
                 '{"entry":"odd","address":"127.0.0.1:99999","epoch":1}', deep, "", None],
             "zinniacart/learned/interference": ['{"version":1e300}', deep, None],
+            "zinniacart/learned/run-times": [
+                '{"version":1,"queues":[["q",-1]]}', deep, None],
             "op/evacuate/odd": [deep, None],
             "op/config": [deep, None]}
         with PlatformSite() as site:
@@ -228,6 +230,18 @@
             wait_for("it has loaded the record",
                      lambda: "learned interference loaded" in site.owner().log_path.read_text())
 
+    def test_a_new_owner_knows_what_was_learned_about_run_times(self):
+        record = "zinniacart/learned/run-times"
+        with PlatformSite(entries=3, hosts=1) as site:
+            self.completes(site, site.submit(STEPS, seconds=1.0))
+            wait_for("the run times are stored", lambda: site.store.value(record))
+            self.assertLessEqual(1, site.store.value(record)["queues"][0][1])
+            owner = site.owner()
+            owner.kill()
+            wait_for("another entry owns", lambda: site.owner() not in (owner, None))
+            wait_for("it has loaded the record",
+                     lambda: "learned run times loaded" in site.owner().log_path.read_text())
+
     def test_a_stronger_entry_takes_over_and_a_weak_one_helps_out(self):
         with PlatformSite(entries=1, cpu_share=0.05) as site:
             weak = site.owner()
