--- a/packages/hosting/simulation/protocol_simulation.cc
+++ b/packages/hosting/simulation/protocol_simulation.cc
@@ -1,8 +1,11 @@
 #include "hosting/simulation/protocol_simulation.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
+#include "hosting/simulation/varied_jobs.h"
+
 namespace zinniacart::simulation {
 namespace {
 
@@ -84,6 +87,9 @@
               SendOrders(number, host, orders);
             },
             [this, name](const DecisionEvent& event) {
+              const std::string decision = event.name;
+              m_report.preempted += decision == "run preempted" ? 1 : 0;
+              m_report.copied += decision == "run copied" ? 1 : 0;
               Trace(name + ": " + event.name + " " + event.run.task.ToString() +
                     " run " + std::to_string(event.run.run.value()) + " " +
                     event.host.value() + " " + event.detail);
@@ -475,10 +481,15 @@
   JobRecord record;
   record.id = JobId("job-" + std::to_string(number));
   record.queue = QueueId("queue");
+  const auto draw = [this](int min, int max) { return Random(min, max); };
+  if (m_settings.varied_jobs) {
+    record.policy = VariedPolicy(draw);
+    record.spec = VariedJobSpec(draw);
+  } else {
+    record.spec = RandomJobSpec(draw);
+  }
   record.policy.service = ServiceId("service");
   record.policy.max_attempts = 3;
-  record.spec =
-      RandomJobSpec([this](int min, int max) { return Random(min, max); });
   if (m_settings.crashing_job_every > 0 &&
       number % m_settings.crashing_job_every == 0) {
     record.spec.payload = kCrashingPayload;
--- a/packages/hosting/simulation/protocol_simulation.h
+++ b/packages/hosting/simulation/protocol_simulation.h
@@ -33,6 +33,9 @@
   /// then submitted also after the faults. The workers should be steady and
   /// ignore their capacity, so that only the owner limits what runs.
   int perpetual_jobs = 0;
+  /// Jobs are as `VariedJobSpec` makes them, so that work is preempted, copied
+  /// and moved. The workers should be steady and ignore their capacity.
+  bool varied_jobs = false;
   /// How many of a worker's answers take up to 0.3 s, so that later ones
   /// overtake them.
   double slow_answers = 0.1;
@@ -60,6 +63,8 @@
   /// Other jobs that were given up: workers crashed by themselves just after
   /// they had started their tasks.
   int sound_given_up = 0;
+  int preempted = 0;  ///< Runs that were stopped in favour of others.
+  int copied = 0;     ///< Stragglers of which a copy was started.
 };
 
 /// One randomised run of the real `Scheduler` and `HostSupervisor` against a
--- a/packages/hosting/simulation/randomised_runs_test.cc
+++ b/packages/hosting/simulation/randomised_runs_test.cc
@@ -180,3 +180,30 @@
   const auto violation_text = FirstViolation(settings);
   CHECK(violation_text.has_value());
 }
+
+// Guards against two runs of a task that is preempted or moved, and against
+// jobs that never end because their work is stopped again and again.
+TEST(ProtocolRuns, PreemptedAndCopiedWorkKeepsEveryGuarantee) {
+  ProtocolSettings settings;
+  settings.varied_jobs = true;
+  settings.jobs = 60;
+  settings.worker.steady = true;
+  settings.worker.ignores_capacity = true;
+  settings.worker.slow_runs = 0.1;
+  int preempted = 0;
+  int copied = 0;
+  std::string violation_text;
+  try {
+    for (settings.seed = 1; settings.seed <= 6; ++settings.seed) {
+      const ProtocolReport report = ProtocolSimulation(settings).Run();
+      preempted += report.preempted;
+      copied += report.copied;
+    }
+  } catch (const Violation& violation) {
+    violation_text =
+        "seed " + std::to_string(settings.seed) + ": " + violation.what();
+  }
+  STRCMP_EQUAL("", violation_text.c_str());
+  CHECK(preempted > 0);
+  CHECK(copied > 0);
+}
--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -17,6 +17,9 @@
 /// Measures of a perpetual task, which is ready as soon as it is at work.
 constexpr int kReadyPercent = 100;
 constexpr std::int64_t kTailLatencyMs = 20;
+constexpr int kSlowRunFactor = 8;
+/// A checkpoint is saved each time this share of the work is done, in percent.
+constexpr int kCheckpointPercent = 25;
 
 }  // namespace
 
@@ -65,9 +68,10 @@
 }
 
 void SimulatedWorker::End(const TaskRun& id, EndKind how) {
+  const CheckpointId checkpoint = CheckpointOf(id, m_runs[id]);
   m_runs.erase(id);
   m_newest_closed_run[id.task] = std::max(m_newest_closed_run[id.task], id.run);
-  m_ended.push_back(EndedTask{++m_last_end_number, id, how, {}});
+  m_ended.push_back(EndedTask{++m_last_end_number, id, how, checkpoint});
   m_ended_at[m_last_end_number] = m_oracle.now();
   m_oracle.OnEnded(id, m_host, how);
 }
@@ -162,10 +166,22 @@
   }
   const Duration done = run.total - run.left;
   return RunningTask{
-      id,
-      {},
-      m_faults.steady ? static_cast<int>(100 * done / run.total) : 0,
-      0};
+      id, CheckpointOf(id, run),
+      m_faults.steady ? static_cast<int>(100 * done / run.total) : 0, 0};
+}
+
+CheckpointId SimulatedWorker::CheckpointOf(const TaskRun& id,
+                                           const Run& run) const {
+  if (!m_oracle.StepOf(id.task).checkpoints) {
+    return {};
+  }
+  const auto percent = static_cast<int>(100 * (run.total - run.left) /
+                                        std::max(run.total, Duration(1)));
+  const int saved = percent / kCheckpointPercent * kCheckpointPercent;
+  return saved == 0 ? run.resumed_from
+                    : CheckpointId(id.task.ToString() + "-" +
+                                   std::to_string(id.run.value()) + "-" +
+                                   std::to_string(saved));
 }
 
 StartAnswer SimulatedWorker::Start(const StartCall& call) {
@@ -212,7 +228,13 @@
   if (run.crashes) {
     run.total = std::max(run.total, m_faults.crash_after + Duration(1000));
   }
-  run.left = run.total;
+  if (m_faults.slow_runs > 0 &&
+      std::bernoulli_distribution(m_faults.slow_runs)(m_random)) {
+    run.total *= kSlowRunFactor;
+  }
+  run.resumed_from = call.order.resume_from;
+  // A resumed run has half of its work left.
+  run.left = run.resumed_from == CheckpointId() ? run.total : run.total / 2;
   return StartAnswer::kStarted;
 }
 
--- a/packages/hosting/simulation/simulated_worker.h
+++ b/packages/hosting/simulation/simulated_worker.h
@@ -27,6 +27,8 @@
   std::size_t max_ends_in_list = 500;  ///< The oldest ones are listed.
   /// How long a run of a crashing task works until it crashes the worker.
   Duration crash_after{0};
+  /// Share of the runs that take eight times as long.
+  double slow_runs = 0;
   /// How long a run still works after the worker has accepted a stop of it.
   Duration stop_time{0};
 };
@@ -73,6 +75,7 @@
     Duration left{0};
     bool crashes = false;  ///< See `WorkerFaults::crash_after`.
     bool perpetual = false;
+    CheckpointId resumed_from;
     std::optional<Duration> until_stopped;  ///< Set once a stop was accepted.
   };
 
@@ -81,6 +84,8 @@
   bool Fenced(Epoch token);
   /// @returns the run as it is listed.
   RunningTask List(const TaskRun& id, const Run& run) const;
+  /// @returns the newest checkpoint of the run; empty if its task saves none.
+  CheckpointId CheckpointOf(const TaskRun& id, const Run& run) const;
   void End(const TaskRun& id, EndKind how);
   /// Lets a run work on for `duration`, at the most until it ends.
   void Work(const TaskRun& id, Run& run, Duration duration);
--- a/packages/hosting/simulation/soak_main.cc
+++ b/packages/hosting/simulation/soak_main.cc
@@ -45,6 +45,10 @@
   bool worker_outages = false;
   app.add_flag("--worker-outages", worker_outages,
                "Workers that crash are back only after some seconds");
+  bool varied_jobs = false;
+  app.add_flag("--varied-jobs", varied_jobs,
+               "Jobs save checkpoints, are best-effort, speculative and late; "
+               "workers ignore their capacity");
   CLI11_PARSE(app, argc, argv);
   using namespace zinniacart::simulation;
   std::size_t starts = 0;
@@ -52,14 +56,19 @@
   int takeovers = 0;
   int given_up = 0;
   int sound_given_up = 0;
+  int preempted = 0;
+  int copied = 0;
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
     ProtocolSettings settings;
     settings.seed = seed;
     settings.crashing_job_every = crashing_job_every;
     settings.worker.crash_after = zinniacart::Duration(crash_after_ms);
     settings.capacity_changes = capacity_changes;
-    settings.worker.ignores_capacity = capacity_changes || perpetual_jobs > 0;
-    settings.worker.steady = steady || perpetual_jobs > 0;
+    settings.worker.ignores_capacity =
+        capacity_changes || perpetual_jobs > 0 || varied_jobs;
+    settings.worker.steady = steady || perpetual_jobs > 0 || varied_jobs;
+    settings.varied_jobs = varied_jobs;
+    settings.worker.slow_runs = varied_jobs ? 0.1 : 0.0;
     settings.perpetual_jobs = perpetual_jobs;
     settings.worker_outages = worker_outages;
     settings.jobs = jobs;
@@ -79,6 +88,8 @@
       takeovers += report.takeovers;
       given_up += report.given_up;
       sound_given_up += report.sound_given_up;
+      preempted += report.preempted;
+      copied += report.copied;
     } catch (const Violation& violation) {
       std::cerr << "seed " << seed << ": " << violation.what() << '\n';
       return 1;
@@ -86,6 +97,7 @@
   }
   std::cout << seeds << " seeds, " << starts << " starts, " << faults
             << " faults, " << takeovers << " takeovers, " << given_up
-            << " crashing jobs and " << sound_given_up
-            << " others given up: no guarantee violated\n";
+            << " crashing jobs and " << sound_given_up << " others given up, "
+            << preempted << " runs preempted, " << copied
+            << " copied: no guarantee violated\n";
 }
