--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -1,6 +1,7 @@
 #include "scheduling/scheduler.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "scheduling/interference_record.h"
@@ -30,6 +31,8 @@
   m_crashes.Clear(m_ownership_began);
   m_serving_loads.clear();
   m_siblings.Clear();
+  m_step_times.Clear();
+  m_copied.clear();
 }
 
 void Scheduler::SetConfiguration(SiteConfiguration configuration) {
@@ -132,6 +135,7 @@
 }
 
 void Scheduler::StopTasksOf(Job& job) {
+  StopOriginalsOf(job.id());
   job.ForEachTask([&](const TaskKey& key, Task& task) {
     if (!task.placed()) {
       return;
@@ -187,6 +191,7 @@
   }
   DuplicateRunsOfUnresponsiveHosts();
   MoveHaltedRuns();
+  MitigateStragglers();
   if (now - m_checkpoints_saved_at > m_settings.checkpoint_interval) {
     m_checkpoints_saved_at = now;
     SaveCheckpoints();
@@ -198,6 +203,7 @@
   if (now - m_load_logged_at > m_settings.load_log_interval) {
     m_load_logged_at = now;
     LogLoad();
+    LogOrder();
   }
   ForgetEndedJobs();
 }
@@ -220,6 +226,8 @@
   std::erase_if(m_serving_loads,
                 [&id](const auto& entry) { return entry.first.job == id; });
   m_siblings.Forget(id);
+  m_step_times.Forget(id);
+  StopOriginalsOf(id);
   ForgetSuspectsOf(id);
   m_pinned.erase(id);
   m_jobs.erase(id);
@@ -251,24 +259,33 @@
     }
   }
   std::size_t waiting = 0;
+  std::array<std::size_t, 3> waiting_by_tier{};
   for (const ReadyStep& ready : ReadySteps()) {
     if (ready.overdue) {
       continue;  // Its tasks are also counted with the other ones of the step.
     }
     const auto& tasks = ready.job->At(ready.occurrence, ready.step).tasks;
-    waiting += static_cast<std::size_t>(std::count_if(
+    const auto pending = static_cast<std::size_t>(std::count_if(
         tasks.begin(), tasks.end(),
         [](const Task& task) { return task.phase == TaskPhase::kPending; }));
+    waiting += pending;
+    if (ready.tier) {
+      waiting_by_tier.at(static_cast<std::size_t>(*ready.tier)) += pending;
+    }
   }
   m_log({"load",
          {},
          {},
-         std::to_string(waiting) + " tasks pending, " + std::to_string(free) +
-             " millicores free, " + std::to_string(idle) +
-             " idle millicores, " + std::to_string(best_effort_use) +
-             " used by best-effort tasks, " + std::to_string(halted) +
-             " best-effort tasks halted, " + std::to_string(CountHeldTasks()) +
-             " tasks held of " + std::to_string(m_jobs.size()) + " jobs"});
+         std::to_string(waiting) + " tasks pending (" +
+             std::to_string(waiting_by_tier[0]) + " in time, " +
+             std::to_string(waiting_by_tier[1]) + " within three objectives, " +
+             std::to_string(waiting_by_tier[2]) + " later), " +
+             std::to_string(free) + " millicores free, " +
+             std::to_string(idle) + " idle millicores, " +
+             std::to_string(best_effort_use) + " used by best-effort tasks, " +
+             std::to_string(halted) + " best-effort tasks halted, " +
+             std::to_string(CountHeldTasks()) + " tasks held of " +
+             std::to_string(m_jobs.size()) + " jobs"});
 }
 
 void Scheduler::SaveCheckpoints() {
@@ -449,6 +466,8 @@
         run.first_delivered_to = host.agent;
       }
       orders.starts.push_back(run.order);
+      ++run.start_deliveries;
+      run.start_delivered_at = now;
     } else {
       continue;
     }
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -15,17 +16,21 @@
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/queue.h"
+#include "ordering/job_order.h"
+#include "ordering/preemption.h"
+#include "ordering/run_time_model.h"
+#include "ordering/sibling_speeds.h"
+#include "ordering/step_run_times.h"
 #include "scheduling/crash_history.h"
 #include "scheduling/headroom.h"
 #include "scheduling/host.h"
 #include "scheduling/host_messages.h"
 #include "scheduling/job.h"
+#include "scheduling/job_forecast.h"
 #include "scheduling/placement.h"
 #include "scheduling/queue_work.h"
-#include "scheduling/run_time_model.h"
 #include "scheduling/scheduler_settings.h"
 #include "scheduling/serving_load.h"
-#include "scheduling/sibling_speeds.h"
 
 namespace zinniacart {
 
@@ -169,6 +174,10 @@
   const std::map<JobId, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
   const std::map<HostId, Host>& hosts() const { return m_hosts; }
   const InterferenceModel& interference() const { return m_interference; }
+  const RunTimeModel& run_times() const { return m_run_times; }
+  /// Adds what an earlier owner had learned about run times.
+  /// @returns the errors of `::RestoreRunTimes`.
+  Result<void> RestoreRunTimes(const std::string& bytes);
   /// Adds what an earlier owner had learned about interference.
   /// @returns the errors of `::RestoreInterference`.
   Result<void> RestoreInterference(const std::string& bytes);
@@ -182,6 +191,8 @@
     std::uint32_t step;
     double urgency;  ///< Smaller values are placed first.
     bool overdue;    ///< Includes only the overdue tasks, see `IsOverdue`.
+    /// Empty for perpetual steps.
+    std::optional<OrderTier> tier{};
   };
 
   /// A FIFO queue of jobs that holds each job at most once.
@@ -282,10 +293,25 @@
   void FinishTask(Job& job, const TaskRun& finished);
   /// Finishes the task and adds its work to `m_finished_work`.
   void FinishAndCount(Job& job, const TaskKey& task);
+  /// @returns a function that estimates run times from the job's queue alone.
+  RunTimeEstimator QueueEstimate(const Job& job) const;
   /// @returns the core-seconds of the job's tasks that wait for capacity, and
   /// whether the job can still meet its objective.
   std::pair<double, bool> WaitingWorkOf(const Job& job) const;
   void LearnRunTime(const Job& job, const HostedRun& run);
+
+  // Run times and order, see `packages/ordering`.
+  /// @returns what is known of steps, nullptr while that is not used.
+  const StepRunTimes* Siblings() const;
+  /// @returns the expected run time of the task.
+  Duration ExpectedTime(const Job& job, const TaskKey& task) const;
+  /// @returns how long ago the occurrence was due, or the job accepted if it
+  /// runs once.
+  Duration AgeOf(const Job& job, std::uint32_t occurrence) const;
+  /// Learns from the progress of a run that its worker lists.
+  void ObserveProgress(const HostedRun& run);
+  /// Logs what is learned of run times and done for the order of work.
+  void LogOrder();
   /// Quarantines the host if too many consecutive failures are its fault, see
   /// `FailuresOfHost`.
   void CountOutcome(Host& host, const TaskRun& id, bool failed);
@@ -378,7 +404,10 @@
   /// `SchedulerSettings::max_waiting_occurrences`.
   void OpenDueOccurrences(Job& job);
   void CollectReadySteps(Job& job, std::vector<ReadyStep>& ready);
-  double UrgencyOf(const Job& job, std::uint32_t step) const;
+  ReadyStep RankStep(Job& job,
+                     std::uint32_t occurrence,
+                     std::uint32_t step,
+                     const JobForecast& forecast) const;
   /// @returns the urgency of the step's overdue tasks.
   static double OverdueUrgencyOf(const Job& job, std::uint32_t step);
   /// @returns whether the task is a perpetual one that waits to run again for
@@ -391,6 +420,42 @@
   void PlaceTask(Job& job, const TaskKey& key, Host& host);
   static HostedRun MakeRun(const StepSpec& step);
 
+  // Stragglers, see `IsStraggler`.
+  /// Starts copies of stragglers, or moves them where copies are not allowed.
+  void MitigateStragglers();
+  /// @returns whether the tasks of the host are about as fast as elsewhere, so
+  /// that a run that takes long there has more work than others.
+  bool IsKnownToBeSound(const Host& host) const;
+  bool IsStragglingRun(const Host& host,
+                       const TaskRun& id,
+                       const HostedRun& run);
+  void Mitigate(const TaskRun& id, Host& host, PlacementIndex& index);
+  /// @returns whether one more copy leaves the copies within their share of the
+  /// service's processors.
+  bool MayCopy(const ServiceId& service, const StepSpec& step);
+  /// Stops the run of which a copy was started, unless it is `finished`, and
+  /// forgets the copy.
+  void StopOriginal(const TaskKey& task, RunNumber finished);
+  void StopOriginalsOf(const JobId& job);
+  /// @returns the progress of the run as its worker last listed it.
+  TaskProgress ProgressOfRun(const HostedRun& run) const;
+
+  // Preemption, see `ChoosePreemptions`.
+  struct PreemptionRound;
+  /// Stops late work in favour of pending tasks of jobs that can be in time.
+  /// Must be called after all tasks that fit are placed.
+  void PreemptLateWork(const std::vector<ReadyStep>& ready_steps);
+  void AddWaiting(const ReadyStep& ready, PreemptionRound& round) const;
+  /// Adds the hosts of the service with the runs that may be stopped there.
+  void AddCandidates(const ServiceId& service, PreemptionRound& round);
+  /// @param job of the run, may be nullptr.
+  bool IsPreemptible(Job* job, const TaskRun& id, const HostedRun& run) const;
+  /// @returns whether placement accepts a task of the demand on the host after
+  /// the stops. If so, the task counts as placed there in `round`.
+  bool AcceptsAfterPreemption(PreemptionRound& round,
+                              const Preemption& proposed) const;
+  void Preempt(const PreemptionRound& round, const Preemption& preemption);
+
   // Jobs.
   void StopTasksOf(Job& job);
   /// Forgets the ended jobs whose retention is over.
@@ -423,6 +488,7 @@
   std::set<DomainId> m_drained_domains;
   InterferenceModel m_interference;
   RunTimeModel m_run_times;
+  StepRunTimes m_step_times;
   SiblingSpeeds m_siblings;
   /// The tasks that are still suspected of each crash, by host and the worker
   /// incarnation that crashed.
@@ -436,6 +502,13 @@
   Instant m_checkpoints_saved_at;
   Instant m_load_logged_at;
   Instant m_consolidated_at;
+  /// Tasks with a copy beside their straggling run, and that run and its host.
+  std::map<TaskKey, std::pair<RunNumber, HostId>> m_copied;
+  Instant m_stragglers_checked_at;
+  std::uint64_t m_copied_stragglers = 0;  ///< In this process.
+  std::uint64_t m_moved_stragglers = 0;
+  Instant m_preempted_at;
+  std::uint64_t m_preempted_runs = 0;  ///< In this process, for the load log.
   std::map<JobId, std::unique_ptr<Job>> m_jobs;
   std::map<HostId, Host> m_hosts;
   JobQueue m_dirty;
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <vector>
 
+#include "ordering/sibling_speeds.h"
 #include "scheduling/failure_verdict.h"
 #include "scheduling/scheduler.h"
 
@@ -22,12 +24,17 @@
   return run.latest.progress_percent / kPercent;
 }
 
-/// @returns the run time of a task with the given estimate that runs at
-/// `speed`, where 1 is the estimated speed.
-Duration TimeAtSpeed(Duration estimate, double speed) {
+/// @returns the speed of a run in tasks per ms. The estimates of a step change
+/// while its tasks run, so that only rates are comparable between hosts.
+/// @param speed 1 where the run takes as long as estimated.
+double RateOf(const HostedRun& run, double speed) {
+  return speed / static_cast<double>(run.estimate.count());
+}
+
+/// @returns the run time of the task at the rate.
+Duration TimeAtRate(const HostedRun& run, double rate) {
   constexpr double kMinSpeed = 0.01;
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(estimate.count()) / std::max(speed, kMinSpeed)));
+  return Duration(std::llround(1 / std::max(rate, RateOf(run, kMinSpeed))));
 }
 
 }  // namespace
@@ -46,12 +53,11 @@
     const Duration elapsed = now - run.started_at;
     if (const auto shown =
             host.health.ObservedSpeed(run.estimate, elapsed, ProgressOf(run))) {
-      m_siblings.Observe(step, host.id(), *shown);
+      m_siblings.Observe(step, host.id(), RateOf(run, *shown));
     }
     if (const auto usual = m_siblings.MedianOnOtherHosts(step, host.id())) {
       compared = true;
-      host.health.OnRunning(TimeAtSpeed(run.estimate, *usual), elapsed,
-                            ProgressOf(run));
+      host.health.OnRunning(TimeAtRate(run, *usual), elapsed, ProgressOf(run));
       continue;
     }
     const HostedRun*& best = without_peers[step];
@@ -72,10 +78,10 @@
   const TaskKey step = run.order.id.task.First();
   if (const auto shown =
           host.health.ObservedSpeed(run.estimate, elapsed, 1.0)) {
-    m_siblings.Observe(step, host.id(), *shown);
+    m_siblings.Observe(step, host.id(), RateOf(run, *shown));
   }
   if (const auto usual = m_siblings.MedianOnOtherHosts(step, host.id())) {
-    host.health.OnFinished(TimeAtSpeed(run.estimate, *usual), elapsed, now);
+    host.health.OnFinished(TimeAtRate(run, *usual), elapsed, now);
   }
 }
 
@@ -245,10 +251,13 @@
                         HostedRun& run) {
   host.OrderStop(run);
   Task* task = job.Find(key);
-  if (task == nullptr) {
+  const auto copied = m_copied.find(key);
+  const bool copies = copied != m_copied.end();
+  if (task == nullptr ||
+      (copies && run.order.id == TaskRun{key, copied->second.first})) {
     return;
   }
-  if (!job.active() || !job.spec().steps[key.step].speculative ||
+  if (copies || !job.active() || !job.spec().steps[key.step].speculative ||
       MayHaveCrashed(host, run)) {
     task->phase = TaskPhase::kStopping;
     return;
@@ -260,6 +269,7 @@
 }
 
 void Scheduler::StopDuplicateRun(Job& job, const TaskRun& finished) {
+  StopOriginal(finished.task, finished.run);
   const Task* task = job.Find(finished.task);
   if (task == nullptr || task->run == finished.run) {
     return;
@@ -289,7 +299,7 @@
     for (auto& [id, run] : host.runs) {
       Job* job = FindJob(id.task.job);
       if (job == nullptr || !job->active() || run.stopping ||
-          MayHaveCrashed(host, run) ||
+          MayHaveCrashed(host, run) || m_copied.contains(id.task) ||
           !job->spec().steps[id.task.step].speculative) {
         continue;
       }
--- a/packages/scheduling/scheduler_reports.cc
+++ b/packages/scheduling/scheduler_reports.cc
@@ -9,6 +9,11 @@
 /// Pace, in percent, set for best-effort tasks that a previous owner started.
 constexpr int kRecoveredPercent = 50;
 
+/// A start takes effect within this time after it was sent, unless it is lost.
+/// A report that shows it later was late itself: a run time counted from that
+/// report would be too short, down to almost nothing.
+constexpr Duration kMaxStartDelay{150};
+
 const char* ToString(EndKind how) {
   switch (how) {
     case EndKind::kDone:
@@ -196,17 +201,6 @@
   }
 }
 
-void Scheduler::LearnRunTime(const Job& job, const HostedRun& run) {
-  const TaskKey& task = run.order.id.task;
-  const bool representative =
-      run.started && run.never_slowed && !run.recovered &&
-      run.order.resume_from == CheckpointId() && task.job == job.id();
-  if (representative && !run.perpetual) {
-    m_run_times.Learn(job.record().queue, job.spec().steps[task.step].estimate,
-                      m_clock.Now() - run.started_at);
-  }
-}
-
 void Scheduler::ApplyUnexpectedEnd(const EndedTask& ended) {
   // Either a duplicate run that only the previous owner knew, or a run that
   // this owner had released. The task is done all the same, and must not start
@@ -224,11 +218,13 @@
 void Scheduler::FinishTask(Job& job, const TaskRun& finished) {
   StopDuplicateRun(job, finished);
   FinishAndCount(job, finished.task);
+  m_step_times.Remove(finished.task);
   const std::uint32_t occurrence = finished.task.occurrence;
   if (!job.occurrences().IsComplete(occurrence)) {
     return;
   }
   m_siblings.Forget(job.id(), occurrence);
+  m_step_times.Forget(job.id(), occurrence);
   std::erase_if(m_serving_loads, [&](const auto& entry) {
     return entry.first.job == job.id() && entry.first.occurrence == occurrence;
   });
@@ -282,6 +278,10 @@
   }
   run.started = true;
   run.started_at = m_clock.Now();
+  run.began_at =
+      run.start_deliveries == 1
+          ? std::min(run.started_at, run.start_delivered_at + kMaxStartDelay)
+          : run.started_at;
   host.has_orders = host.has_orders || run.pace_pending;
 }
 
@@ -334,7 +334,13 @@
     }
     run.recovered = false;
     run.ordered = true;
+    if (run.latest.checkpoint != running.checkpoint) {
+      run.saved_percent = running.progress_percent;
+    }
     run.latest = running;
+    if (new_list) {
+      ObserveProgress(run);
+    }
     if (!unproven.contains(running.id)) {
       OnProven(host, running.id, run);
     }
@@ -409,6 +415,11 @@
   const auto run = host.runs.find(id);
   const bool worked = run != host.runs.end() && run->second.started;
   host.runs.erase(id);
+  if (const auto copied = m_copied.find(id.task);
+      copied != m_copied.end() && copied->second.first == id.run) {
+    m_copied.erase(copied);
+  }
+  m_step_times.Remove(id.task);
   m_log({"run released", id, host.id(), reason});
   Job* job = FindJob(id.task.job);
   if (job == nullptr) {
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/clock.h"
+#include "ordering/job_order.h"
+#include "ordering/stragglers.h"
 
 namespace zinniacart {
 
@@ -116,6 +118,21 @@
   /// A scheduled occurrence starts this long after its due time, so that a
   /// clock that is ahead does not start it early.
   Duration occurrence_delay{50};
+  /// The run times of a step are estimated from its own tasks too, and what is
+  /// left of running tasks counts for the rank of their job, see
+  /// `StepRunTimes`. Otherwise from the queue alone.
+  bool sibling_run_times = true;
+  /// The statistics of run times are stored for the next owner.
+  bool hand_over_run_times = true;
+  OrderSettings order;
+  /// Runs of late jobs that save checkpoints are stopped where pending tasks of
+  /// jobs that can be in time fit nowhere, at most once per interval: the
+  /// effect of the last stops is seen by then. A run that was just started is
+  /// not stopped, as its start would be lost.
+  bool preempt_late_work = true;
+  Duration preemption_interval{300};
+  Duration min_run_before_preemption{1000};
+  StragglerSettings stragglers;
 };
 
 }  // namespace zinniacart
--- a/packages/scheduling/scheduler_work.cc
+++ b/packages/scheduling/scheduler_work.cc
@@ -63,9 +63,14 @@
   return summary;
 }
 
+RunTimeEstimator Scheduler::QueueEstimate(const Job& job) const {
+  return [this, queue = job.record().queue](const StepSpec& step) {
+    return m_run_times.ExpectedRunTime(queue, step.estimate);
+  };
+}
+
 std::pair<double, bool> Scheduler::WaitingWorkOf(const Job& job) const {
-  const RunTimeEstimator estimate =
-      m_run_times.EstimatorFor(job.record().queue);
+  const RunTimeEstimator estimate = QueueEstimate(job);
   double work = 0;
   Duration chain_left{0};
   for (const auto& [occurrence, steps] : job.occurrences().open()) {
@@ -94,12 +99,21 @@
 }
 
 void Scheduler::FinishAndCount(Job& job, const TaskKey& task) {
-  const RunTimeEstimator estimate =
-      m_run_times.EstimatorFor(job.record().queue);
-  const double before = job.CoreSecondsLeft(estimate);
+  if (job.Find(task) == nullptr) {
+    return;  // A duplicate run has ended after its occurrence was complete.
+  }
+  const StepSpec& step = job.spec().steps[task.step];
+  const std::uint32_t done_before = job.At(task.occurrence, task.step).done;
+  const double core_seconds =
+      step.demand.cores() *
+      std::chrono::duration<double>(QueueEstimate(job)(step)).count();
   job.Finish(task);
+  // The occurrence is dropped with its last task.
+  const std::uint32_t done = job.Find(task) == nullptr
+                                 ? step.count
+                                 : job.At(task.occurrence, task.step).done;
   m_finished_work[{job.policy().service, job.policy().priority}] +=
-      before - job.CoreSecondsLeft(estimate);
+      core_seconds * (done - done_before);
 }
 
 }  // namespace zinniacart
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -12,7 +12,7 @@
 #include "scheduling/ownership.h"
 #include "scheduling/scheduler.h"
 #include "site/host_link.h"
-#include "site/interference_archive.h"
+#include "site/learned_archive.h"
 #include "site/peer_clients.h"
 #include "site/prefix_follower.h"
 #include "site/store_port.h"
@@ -121,6 +121,9 @@
   /// Takes over what the previous owner had learned about interference.
   void LoadInterference();
   void SaveInterference();
+  /// Takes over what the previous owner had learned about run times.
+  void LoadRunTimes();
+  void SaveRunTimes();
   void OnWorkSnapshot(const StoreSnapshot& snapshot);
   void OnWorkEvent(const StoreEvent& event);
   void ApplyWorkItem(const StoreItem& item);
@@ -161,7 +164,8 @@
   const Clock& m_clock;
   Ownership m_ownership;
   Scheduler m_scheduler;
-  InterferenceArchive m_archive;
+  LearnedArchive m_archive;
+  LearnedArchive m_run_times;
   BacklogForecast m_forecast;
   BacklogAdvice m_logged_backlog;
   /// Follows jobs, cancellations and hosts in the store during a term.
