--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -28,33 +28,12 @@
 #include "scheduling/job.h"
 #include "scheduling/job_forecast.h"
 #include "scheduling/placement.h"
+#include "scheduling/scheduler_messages.h"
 #include "scheduling/scheduler_settings.h"
 #include "scheduling/serving_load.h"
 
 namespace zinniacart {
 
-/// The progress of one job, to be written to the store.
-struct ProgressWrite {
-  JobId job;
-  std::string bytes;           ///< See `Job::EncodeProgress`.
-  std::uint64_t version = 0;   ///< The `Job::version` that `bytes` encodes.
-  std::uint64_t revision = 0;  ///< Expected store revision.
-};
-
-/// The progress of one job as the store has it.
-struct StoredProgress {
-  std::string bytes;
-  std::uint64_t revision = 0;  ///< 0: nothing is stored.
-};
-
-/// A scheduling decision, for the log. Fields that do not apply are empty.
-struct DecisionEvent {
-  const char* name;
-  TaskRun run;
-  HostId host;
-  std::string detail;
-};
-
 /// Decides for the owner which task runs on which host.
 ///
 /// The class does no I/O and is not thread-safe. The caller passes in jobs, the
