--- a/packages/scheduling/interference_model.cc
+++ b/packages/colocation/interference_model.cc
@@ -1,4 +1,4 @@
-#include "scheduling/interference_model.h"
+#include "colocation/interference_model.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/scheduling/interference_model.h
+++ b/packages/colocation/interference_model.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "scheduling/serving_load.h"
+#include "colocation/serving_load.h"
 
 namespace zinniacart {
 
--- a/packages/scheduling/interference_record.cc
+++ b/packages/colocation/interference_record.cc
@@ -1,4 +1,4 @@
-#include "scheduling/interference_record.h"
+#include "colocation/interference_record.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/packages/scheduling/interference_record.h
+++ b/packages/colocation/interference_record.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "base/error.h"
-#include "scheduling/interference_model.h"
+#include "colocation/interference_model.h"
 
 namespace zinniacart {
 
--- a/packages/scheduling/serving_load.cc
+++ b/packages/colocation/serving_load.cc
@@ -1,4 +1,4 @@
-#include "scheduling/serving_load.h"
+#include "colocation/serving_load.h"
 
 #include <algorithm>
 
--- a/packages/scheduling/tests/host_pacing_test.cc
+++ b/packages/colocation/tests/host_pacing_test.cc
@@ -1,4 +1,4 @@
-#include "scheduling/host_pacing.h"
+#include "colocation/host_pacing.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -9,11 +9,11 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/resources.h"
+#include "colocation/host_pacing.h"
+#include "colocation/interference_model.h"
 #include "jobs/job_spec.h"
 #include "scheduling/host_health.h"
 #include "scheduling/host_messages.h"
-#include "scheduling/host_pacing.h"
-#include "scheduling/interference_model.h"
 
 namespace zinniacart {
 
--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "scheduling/interference_record.h"
+#include "colocation/interference_record.h"
 #include "scheduling/placement.h"
 
 namespace zinniacart {
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "colocation/serving_load.h"
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/queue.h"
@@ -23,7 +24,6 @@
 #include "scheduling/placement.h"
 #include "scheduling/run_time_model.h"
 #include "scheduling/scheduler_settings.h"
-#include "scheduling/serving_load.h"
 #include "scheduling/sibling_speeds.h"
 
 namespace zinniacart {
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "base/logging.h"
-#include "scheduling/interference_record.h"
+#include "colocation/interference_record.h"
 #include "site/entry_directory.h"
 #include "site/peer_paths.h"
 #include "site/store_keys.h"
