--- a/packages/scheduling/scheduler.cc
+++ b/packages/scheduling/scheduler.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <utility>
 
-#include "scheduling/interference_record.h"
+#include "colocation/interference_record.h"
 #include "scheduling/placement.h"
 
 namespace zinniacart {
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -13,6 +13,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "colocation/serving_load.h"
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/queue.h"
@@ -31,7 +32,6 @@
 #include "scheduling/queue_work.h"
 #include "scheduling/scheduler_messages.h"
 #include "scheduling/scheduler_settings.h"
-#include "scheduling/serving_load.h"
 
 namespace zinniacart {
 
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "base/logging.h"
+#include "colocation/interference_record.h"
 #include "ordering/run_time_record.h"
-#include "scheduling/interference_record.h"
 #include "site/entry_directory.h"
 #include "site/peer_paths.h"
 #include "site/store_keys.h"
