--- a/packages/base/ids.h
+++ b/packages/base/ids.h
@@ -7,6 +7,8 @@
 using HostId = StrongType<struct HostIdTag, std::string>;
 using EntryId = StrongType<struct EntryIdTag, std::string>;
 using DomainId = StrongType<struct DomainIdTag, std::string>;
+/// Name of a host at the platform's machine service; outlives its workers.
+using MachineId = StrongType<struct MachineIdTag, std::string>;
 using ServiceId = StrongType<struct ServiceIdTag, std::string>;
 using BackendId = StrongType<struct BackendIdTag, std::string>;
 using TeamId = StrongType<struct TeamIdTag, std::string>;
--- a/packages/scheduling/host.cc
+++ b/packages/scheduling/host.cc
@@ -134,7 +134,7 @@
       refused_capacity_at && now - *refused_capacity_at < kRefusedCapacityPause;
   return facts && listed && reachable && !facts->draining && !refused_lately &&
          !health.unhealthy() && facts->incarnation == incarnation &&
-         !IsQuarantined(now);
+         !IsQuarantined(now) && upkeep == HostUpkeep::kNone;
 }
 
 bool Host::HasLabel(const std::string& label) const {
--- a/packages/scheduling/host.h
+++ b/packages/scheduling/host.h
@@ -75,6 +75,16 @@
   std::optional<double> margin() const;
 };
 
+/// What the upkeep of a host asks of the scheduler.
+enum class HostUpkeep {
+  kNone,
+  /// It gets no new tasks, and its tasks are moved.
+  kEmptying,
+  /// Its upkeep was ordered: it gets no new tasks, and its tasks count as away,
+  /// as they may end at any time.
+  kOrdered,
+};
+
 /// Lower bound of a spare margin that is used as a divisor.
 constexpr double kMinSpareMargin = 0.05;
 
@@ -143,6 +153,7 @@
   /// By the first task of the step; since a run last ended otherwise.
   std::map<TaskKey, FailuresInRow> failures_in_row;
   std::optional<Instant> quarantined_until;
+  HostUpkeep upkeep = HostUpkeep::kNone;
 
   /// The newest incarnation of which it is known how it has ended.
   WorkerIncarnation examined;
--- a/packages/scheduling/host_messages.h
+++ b/packages/scheduling/host_messages.h
@@ -20,6 +20,7 @@
 /// What a worker reports about itself.
 struct WorkerFacts {
   std::string worker;  ///< Its id.
+  MachineId machine;   ///< What it runs on; empty where it does not say so.
   WorkerIncarnation incarnation;
   DomainId domain;
   ServiceId service;
--- a/packages/scheduling/host_messages_codec.cc
+++ b/packages/scheduling/host_messages_codec.cc
@@ -70,6 +70,9 @@
                          facts.capacity.accelerators})},
            {"labels", facts.labels},
            {"rack", facts.rack}};
+  if (facts.machine != MachineId()) {
+    row["machine"] = facts.machine.value();
+  }
   if (facts.draining) {
     row["draining"] = true;
   }
@@ -91,6 +94,7 @@
                              ReadInteger(capacity.at(2), "accelerators")};
   facts.labels = row.at("labels").get<std::vector<std::string>>();
   facts.rack = row.at("rack");
+  facts.machine = MachineId(row.value("machine", std::string()));
   facts.draining = row.value("draining", false);
   if (row.contains("remaining_ms")) {
     facts.remaining = Duration(ReadSigned(row["remaining_ms"], "remaining_ms"));
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -19,6 +19,7 @@
 #include "scheduling/headroom.h"
 #include "scheduling/host.h"
 #include "scheduling/host_messages.h"
+#include "scheduling/host_work.h"
 #include "scheduling/job.h"
 #include "scheduling/placement.h"
 #include "scheduling/run_time_model.h"
@@ -115,6 +116,19 @@
   /// Places all tasks that are ready to run and fit on a host.
   void Place();
 
+  /// Sets the hosts that are emptied for their upkeep or whose upkeep was
+  /// ordered, in place of those of the last call. Hosts that are not known are
+  /// ignored.
+  void SetUpkeep(const std::map<HostId, HostUpkeep>& hosts);
+  /// Moves tasks off the hosts that are being emptied, as far as the disruption
+  /// budgets of their steps allow and other hosts have room. Finite tasks move
+  /// only if they save checkpoints; gangs stay.
+  /// @param spare a finite task that is expected to end within this time stays.
+  void EmptyHosts(const std::map<HostId, Duration>& spare);
+  /// @returns what would be lost if all runs on the host ended now. The host
+  /// must be known.
+  HostWork WorkOn(const HostId& host) const;
+
   /// @returns the pending writes, at most `limit`. Each must be passed to
   /// `OnWritten`, `OnWriteFailed` or `OnWriteConflict` afterwards. Writes that
   /// only save checkpoints come last.
@@ -341,6 +355,28 @@
   /// @returns whether the job's best-effort tasks may start where they must be
   /// slowed down.
   bool MayStartSlowed(const PlacementIndex& index, const Job& job) const;
+  /// The tasks of a step, as its disruption budget counts them.
+  struct StepPresence {
+    std::uint32_t here = 0;  ///< At work on the host in question.
+    std::uint32_t away = 0;  ///< Neither done nor at work.
+  };
+  /// @param host whose tasks are counted as `here`, also while its upkeep is
+  ///             ordered.
+  StepPresence PresenceOf(const TaskKey& step, const HostId& host) const;
+  bool IsAtWork(const TaskKey& key, const Task& task, const HostId& host) const;
+  /// @returns whether the run may be stopped: it is the only one of its step
+  /// that is away, or the budget allows for one more.
+  bool MayMove(const TaskRun& id, const Host& host) const;
+  /// Moves the run if it must not stay and may move.
+  /// @param spare see `EmptyHosts`.
+  void MoveOffHost(Host& host,
+                   const TaskRun& id,
+                   HostedRun& run,
+                   Duration spare,
+                   const PlacementIndex& index,
+                   ReservedCapacity& reserved);
+  /// @returns whether a host is being emptied or its upkeep was ordered.
+  bool HasUpkeep() const;
   void SaveCheckpoints();
   void UpdateHealth(Host& host);
   /// Passes the speeds of the running tasks to the host's health estimate.
--- a/packages/scheduling/scheduler_crashes.cc
+++ b/packages/scheduling/scheduler_crashes.cc
@@ -37,6 +37,9 @@
 
 void Scheduler::HandleCrash(Host& host, WorkerCrash crash) {
   host.examined = crash.incarnation;
+  if (host.upkeep == HostUpkeep::kOrdered) {
+    return;  // Its upkeep has ended the worker.
+  }
   for (auto* runs : {&crash.suspects, &crash.unconfirmed}) {
     std::erase_if(*runs, [&](const TaskRun& id) {
       return IsExonerated(id, crash.incarnation);
@@ -287,6 +290,9 @@
 }
 
 void Scheduler::MarkVanished(const Host& host) {
+  if (host.upkeep == HostUpkeep::kOrdered) {
+    return;
+  }
   for (const auto& [id, run] : host.runs) {
     Job* job = FindJob(id.task.job);
     Task* task = job == nullptr ? nullptr : job->Find(id.task);
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -194,7 +194,8 @@
                                                        return step.best_effort;
                                                      });
       });
-  if (!best_effort) {
+  // A task that is expected back from an upkeep must not be joined by another.
+  if (!best_effort || HasUpkeep()) {
     return;
   }
   const PlacementIndex index = MakeIndex();
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -116,6 +116,9 @@
   /// A scheduled occurrence starts this long after its due time, so that a
   /// clock that is ahead does not start it early.
   Duration occurrence_delay{50};
+  /// A task counts as at work only while its host's last report is younger,
+  /// where a step's disruption budget decides whether another may be ended.
+  Duration at_work_notice{1000};
 };
 
 }  // namespace zinniacart
