--- a/packages/site/entry_node.cc
+++ b/packages/site/entry_node.cc
@@ -149,6 +149,10 @@
   m_owner->SetDrainedDomains(domains);
 }
 
+void EntryNode::OnWaves(std::map<WaveId, WaveSpec> waves) {
+  m_owner->SetWaves(std::move(waves));
+}
+
 void EntryNode::Retire(std::function<void()> done) {
   m_hand_over_timer.Cancel();
   m_owner->Retire(std::move(done));
--- a/packages/site/entry_node.h
+++ b/packages/site/entry_node.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -51,6 +52,8 @@
   void OnConfiguration(SiteConfiguration configuration);
   /// @param domains all failure domains that operators have drained.
   void OnEvacuated(std::set<DomainId> domains);
+  /// @param waves all upkeep waves that operators ask for.
+  void OnWaves(std::map<WaveId, WaveSpec> waves);
 
   /// Stops competing for the ownership and, if this entry is the owner, ends
   /// its lease so that another entry can take over at once.
--- a/packages/site/owner.cc
+++ b/packages/site/owner.cc
@@ -23,6 +23,10 @@
 /// job must be visible after 3 s; two watches in a row that find no change take
 /// less.
 constexpr Duration kMaxWorkAge{2500};
+/// Upkeep is ordered only while the ownership was confirmed within this time,
+/// which is shorter than the lease, so that no other owner can exist even where
+/// the machine service does not check fencing tokens.
+constexpr Duration kMaxHolderAge{1000};
 
 Scheduler::DecisionLog LogDecisions() {
   return [](const DecisionEvent& event) {
@@ -66,7 +70,12 @@
       m_archive(store, clock),
       m_tick_timer(loop),
       m_round_timer(loop),
-      m_store_retry(loop) {}
+      m_store_retry(loop) {
+  if (m_settings.machines != nullptr) {
+    m_upkeep = std::make_unique<UpkeepDuty>(m_settings.upkeep, m_settings.self,
+                                            store, *m_settings.machines, clock);
+  }
+}
 
 void Owner::Start() {
   Tick();
@@ -76,6 +85,9 @@
   TakeStep();
   if (m_loaded) {
     m_scheduler.OnTick();
+    if (m_upkeep && m_drained_domains_known) {
+      m_upkeep->Tick(m_scheduler, m_ownership.ConfirmedWithin(kMaxHolderAge));
+    }
     ScheduleRound();
     SaveInterference();
   }
@@ -214,6 +226,9 @@
   m_write_in_flight = false;
   m_term.reset();
   m_work.reset();
+  if (m_upkeep) {
+    m_upkeep->EndTerm();
+  }
   // A link may be calling this function, so the links are destroyed later.
   boost::asio::post(m_loop, [links = std::move(m_links)] {});
   m_links.clear();
@@ -227,6 +242,9 @@
   m_scheduler.Begin(m_ownership.epoch(), m_settings.self);
   m_told_to = 0;
   m_write_in_flight = false;
+  if (m_upkeep) {
+    m_upkeep->BeginTerm(m_ownership.epoch(), m_ownership.epoch_revision());
+  }
   LoadProgress();
   LoadInterference();
 }
@@ -426,6 +444,12 @@
   }
 }
 
+void Owner::SetWaves(std::map<WaveId, WaveSpec> waves) {
+  if (m_upkeep) {
+    m_upkeep->SetWaves(std::move(waves));
+  }
+}
+
 std::optional<JobState> Owner::StateOf(const JobId& job) const {
   if (!m_loaded || !IsOwnershipConfirmed()) {
     return std::nullopt;
--- a/packages/site/owner.h
+++ b/packages/site/owner.h
@@ -16,6 +16,9 @@
 #include "site/prefix_follower.h"
 #include "site/store_port.h"
 #include "site/timer.h"
+#include "site/upkeep_duty.h"
+#include "upkeep/machine_port.h"
+#include "upkeep/upkeep_settings.h"
 
 namespace zinniacart {
 
@@ -25,6 +28,9 @@
   double cores = 0;     ///< Processors that this entry may use.
   OwnershipTimes ownership;
   SchedulerSettings scheduler;
+  UpkeepSettings upkeep;
+  /// The machine service, not owned; nullptr where there is none.
+  MachinePort* machines = nullptr;
 };
 
 /// Runs the scheduler of the site while this entry owns the scheduling.
@@ -69,6 +75,8 @@
   /// Sets the failure domains that operators have drained. Nothing is placed
   /// before the first call.
   void SetDrainedDomains(const std::set<DomainId>& domains);
+  /// Sets the upkeep waves that operators ask for.
+  void SetWaves(std::map<WaveId, WaveSpec> waves);
   /// An entry has stored a job or a cancellation. Callers check `active` first.
   /// @param path `peer_paths::kJobStored` or `peer_paths::kJobCancelled`,
   ///             followed by the job's id.
@@ -89,6 +97,8 @@
 
   const Scheduler& scheduler() const { return m_scheduler; }
   const Ownership& ownership() const { return m_ownership; }
+  /// @returns the upkeep of machines; nullptr if there is no machine service.
+  const UpkeepDuty* upkeep() const { return m_upkeep.get(); }
 
  private:
   // Ownership.
@@ -151,6 +161,7 @@
   Ownership m_ownership;
   Scheduler m_scheduler;
   InterferenceArchive m_archive;
+  std::unique_ptr<UpkeepDuty> m_upkeep;
   /// Follows jobs, cancellations and hosts in the store during a term.
   std::unique_ptr<PrefixFollower> m_work;
   std::map<HostId, std::unique_ptr<HostLink>> m_links;
--- a/packages/site/store_keys.h
+++ b/packages/site/store_keys.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include <charconv>
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/ids.h"
+#include "upkeep/wave.h"
 
 namespace zinniacart::store_keys {
 
@@ -25,6 +29,31 @@
 /// Progress of each job, written by the owner alone.
 inline const std::string kProgressPrefix = "zinniacart/progress/";
 
+/// Progress of each upkeep wave, written by the owner alone.
+inline const std::string kUpkeepPrefix = "zinniacart/upkeep/";
+/// What operators are told of each wave.
+inline const std::string kWaveStatusPrefix = "status/wave/";
+
+inline std::string Upkeep(const WaveId& wave) {
+  return kUpkeepPrefix + std::to_string(wave.value());
+}
+inline std::string WaveStatus(const WaveId& wave) {
+  return kWaveStatusPrefix + std::to_string(wave.value());
+}
+/// @returns the wave whose progress has this key, nothing for other keys.
+inline std::optional<WaveId> ParseUpkeep(const std::string& key) {
+  std::uint64_t number = 0;
+  if (!key.starts_with(kUpkeepPrefix)) {
+    return std::nullopt;
+  }
+  const char* const end = key.data() + key.size();
+  const auto parsed =
+      std::from_chars(key.data() + kUpkeepPrefix.size(), end, number);
+  return parsed.ec == std::errc() && parsed.ptr == end
+             ? std::optional(WaveId(number))
+             : std::nullopt;
+}
+
 inline std::string Entry(const EntryId& entry) {
   return kEntryPrefix + entry.value();
 }
--- a/packages/upkeep/wave_planner.h
+++ b/packages/upkeep/wave_planner.h
@@ -97,6 +97,8 @@
                Instant now) const;
   /// @returns whether every machine that is still listed has begun its upkeep.
   bool IsComplete() const;
+  /// The wave is reported as completed. Call it only if `IsComplete`.
+  void MarkCompleted() { m_record.completed = true; }
   /// @returns whether the wave cannot be completed in time.
   bool IsLate(Instant now) const;
   /// @returns whether a machine is or may be down, so that listings are of use
