--- a/packages/site/node_metrics.cc
+++ b/packages/site/node_metrics.cc
@@ -31,12 +31,13 @@
 
 void NodeMetrics::Set(const std::string& name,
                       const std::string& help,
-                      double value) {
+                      double value,
+                      const std::map<std::string, std::string>& labels) {
   prometheus::BuildGauge()
       .Name(name)
       .Help(help)
       .Register(*m_registry)
-      .Add({})
+      .Add(labels)
       .Set(value);
 }
 
--- a/packages/site/node_metrics.h
+++ b/packages/site/node_metrics.h
@@ -5,6 +5,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -28,7 +29,10 @@
 
   /// Sets the gauge `name`, which is created on first use.
   /// @param help the gauge's description in the text format.
-  void Set(const std::string& name, const std::string& help, double value);
+  void Set(const std::string& name,
+           const std::string& help,
+           double value,
+           const std::map<std::string, std::string>& labels = {});
 
   /// @returns all metrics in Prometheus's text format.
   std::string Write() const;
--- a/packages/upkeep/wave_record.h
+++ b/packages/upkeep/wave_record.h
@@ -21,6 +21,11 @@
   kGone,      ///< It is no longer listed.
 };
 
+inline constexpr UpkeepStage kUpkeepStages[] = {
+    UpkeepStage::kWaiting, UpkeepStage::kOrdered, UpkeepStage::kBegun,
+    UpkeepStage::kDone,    UpkeepStage::kRefused, UpkeepStage::kExcluded,
+    UpkeepStage::kGone};
+
 /// @returns the name of the stage, which is stored and must not change.
 const char* ToString(UpkeepStage stage);
 
--- a/standins/platform_worker.py
+++ b/standins/platform_worker.py
@@ -67,6 +67,11 @@
         self.down_until = time.monotonic() + DOWN_SECONDS
         self.restart()
 
+    def go_down(self, seconds):
+        """An upkeep or move of its machine ends everything."""
+        self.down_until = time.monotonic() + seconds
+        self.restart()
+
     def is_down(self):
         return time.monotonic() < self.down_until
 
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -467,6 +467,121 @@
             self.completes(site, site.submit(STEPS))
             self.assertEqual(before, len(site.workers[1].log))
 
+    def serving(self, site, count, cpu=500):
+        """Submits a perpetual serving job and waits until all of it is at work."""
+        step = {"count": count, "cpu": cpu, "mem_mb": 100, "estimate_ms": 200,
+                "perpetual": True, "image": "front", "target_ms": 100, "may_miss": 1}
+        job = site.submit([step], seconds=600)
+        wait_for("all tasks are at work", lambda: len(self.at_work(site, job)) == count)
+        return job
+
+    def at_work(self, site, job):
+        return [run for run in site.runs(job) if not run.ended]
+
+    def assert_one_away_at_most(self, site, job, count, since):
+        """Fewer than `count` - 1 tasks were never at work at once, as far as the
+        starts and ends show it."""
+        changes = [(run.begun, 1) for run in site.runs(job)]
+        changes += [(run.ended, -1) for run in site.runs(job) if run.ended]
+        at_work = 0
+        for at, change in sorted(changes):
+            at_work += change
+            if at > since:
+                self.assertGreaterEqual(at_work, count - 1)
+
+    def test_a_wave_takes_each_machine_down_once_and_spares_serving_tasks(self):
+        with PlatformSite(hosts=4, machines=True) as site:
+            job = self.serving(site, 4)
+            since = time.time()
+            names = [f"m-{worker.name}" for worker in site.workers]
+            site.wave(1, names, max_count=2)
+            wait_for("the wave is completed", lambda: site.wave_state(1) == "completed", 60)
+            self.assertEqual(sorted(names),
+                             sorted(call[4] for call in site.machines.calls if call[5] == 200))
+            wait_for("all tasks are at work", lambda: len(self.at_work(site, job)) == 4)
+            self.assert_one_away_at_most(site, job, 4, since)
+            self.assertEqual([], site.machines.violations)
+            self.assertIn('zinniacart_wave_machines{state="done",wave="1"}',
+                          site.metrics(site.owner()))
+            self.assertIn("zinniacart_waves_late 0", site.metrics(site.owner()))
+
+    def test_without_a_wave_the_machine_service_is_not_called(self):
+        with PlatformSite(machines=True) as site:
+            self.completes(site, site.submit(STEPS))
+            time.sleep(4.0)
+            self.assertEqual(([], []), (site.machines.reads, site.machines.calls))
+            self.assertEqual([], site.store.keys("zinniacart/upkeep/"))
+
+    def test_machines_that_are_busy_are_asked_once_also_after_a_takeover(self):
+        with PlatformSite(entries=3, hosts=3, machines=True) as site:
+            job = self.serving(site, 3)
+            names = [f"m-{worker.name}" for worker in site.workers]
+            site.machines.busy = set(names)
+            site.wave(1, names, duration=8)
+            # An owner that dies before it has recorded an answer leaves the call
+            # to be repeated.
+            record = "zinniacart/upkeep/1"
+            wait_for("each answer is recorded", lambda: [row[0] for row in (
+                site.store.value(record) or {"machines": {}})["machines"].values()]
+                == ["refused"] * 3)
+            site.owner().kill()
+            time.sleep(8.0)
+            self.assertEqual(len(names), len(site.machines.calls))
+            self.assertEqual("running", site.wave_state(1))
+            self.assertEqual(3, len(self.at_work(site, job)))
+            self.assertIn('zinniacart_wave_machines{state="refused",wave="1"} 3',
+                          site.metrics(site.owner()))
+            self.assertIn("zinniacart_waves_late 1", site.metrics(site.owner()))
+            self.assertIn("upkeep refused", "".join(
+                entry.log_path.read_text() for entry in site.entries))
+            self.assertEqual([], site.machines.violations)
+
+    def test_a_wave_outlives_killed_holders_and_lost_answers(self):
+        with PlatformSite(entries=3, hosts=3, machines=True) as site:
+            job = self.serving(site, 3)
+            names = [f"m-{worker.name}" for worker in site.workers]
+            site.machines.lose_answers = 1
+            site.wave(1, names)
+            wait_for("a machine goes down", lambda: site.machines.calls)
+            killed = site.owner()
+            killed.kill()
+            wait_for("the wave is completed", lambda: site.wave_state(1) == "completed", 90)
+            killed.start()
+            self.assertTrue(all(machine.waves_done for machine in site.machines.machines.values()))
+            self.assertGreater(len({call[3] for call in site.machines.calls}), 1)
+            wait_for("all tasks are at work", lambda: len(self.at_work(site, job)) == 3)
+            self.assertEqual([], site.machines.violations)
+
+    def test_a_holder_that_was_frozen_does_not_call_any_more(self):
+        with PlatformSite(entries=3, hosts=3, machines=True) as site:
+            names = [f"m-{worker.name}" for worker in site.workers]
+            site.wave(1, names)
+            wait_for("the wave begins", lambda: site.wave_state(1) == "running")
+            frozen = site.owner()
+            frozen.child.send_signal(signal.SIGSTOP)
+            wait_for("another entry owns", lambda: site.owner() not in (frozen, None))
+            frozen.child.send_signal(signal.SIGCONT)
+            thawed = time.monotonic()
+            wait_for("the wave is completed", lambda: site.wave_state(1) == "completed", 60)
+            self.assertEqual([], [call for call in site.machines.calls
+                                  if call[2] == frozen.name and call[0] > thawed])
+            self.assertEqual([], site.machines.violations)
+
+    def test_a_wave_waits_for_its_service_and_not_for_machines_that_leave(self):
+        with PlatformSite(hosts=2, machines=True) as site:
+            site.machines.add("m-other")
+            site.machines.busy = {"m-other"}
+            site.machines.away = True
+            site.wave(1, ["m-w0", "m-w1", "m-other"])
+            time.sleep(5.0)
+            self.assertEqual([], site.machines.calls)
+            site.machines.away = False
+            wait_for("its machines are asked", lambda: len(site.machines.calls) >= 3)
+            self.assertEqual("running", site.wave_state(1))
+            site.machines.remove("m-other")
+            wait_for("the wave is completed", lambda: site.wave_state(1) == "completed")
+            self.assertEqual([], site.machines.violations)
+
     def test_a_planned_stop_answers_what_was_asked(self):
         with PlatformSite() as site:
             entry = site.entries[0]
--- a/tools/platform_site.py
+++ b/tools/platform_site.py
@@ -14,6 +14,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "standins"))
+import platform_machines  # noqa: E402
 import platform_store  # noqa: E402
 import platform_worker  # noqa: E402
 
@@ -58,13 +59,15 @@
 
     def choose_ports(self):
         self.ports = free_ports(4)
+        self.metrics_port = free_ports(1)[0]
         settings = {
             "node_name": self.name, "ip": "127.0.0.1",
             # Agents listen on the second of these ports, entries on the first.
             "internal_ports": [self.ports[0] - (self.role == "agent"), self.ports[0] + 15],
             "limits": {"cpu_share": 0.5},
-            "bounds": {"grace_s": 6, "hold_max_ms": 10000},
-            "listen": {}, **self.site_settings}
+            "listen": {}, **self.site_settings,
+            "bounds": {"grace_s": 6, "hold_max_ms": 10000,
+                       **self.site_settings.get("bounds", {})}}
         if self.role == "entry":
             settings["listen"] = {"front": f"127.0.0.1:{self.ports[1]}",
                                   "ready": f"127.0.0.1:{self.ports[2]}"}
@@ -91,7 +94,8 @@
     def start(self):
         with open(self.log_path, "ab") as log:
             self.child = subprocess.Popen(
-                [str(NODE), self.role, "--settings", str(self.settings_path)],
+                [str(NODE), self.role, "--settings", str(self.settings_path),
+                 "--metrics-port", str(self.metrics_port)],
                 stdout=log, stderr=log)
 
     def kill(self):
@@ -108,12 +112,17 @@
 class PlatformSite:
     """A store, some workers with their agents, some entries."""
 
-    def __init__(self, entries=2, hosts=2, cores=4, cpu_share=0.5):
+    def __init__(self, entries=2, hosts=2, cores=4, cpu_share=0.5, machines=False):
+        """@param machines whether there is a machine service; one machine a host."""
+        self.machines = None
+        self.entry_settings = {}
         self.folder = tempfile.mkdtemp(prefix="zinniacart-")
         self.store = platform_store.Store()
         port = platform_store.serve(self.store).server_address[1]
         self.store_address = f"127.0.0.1:{port}"
         self.configure(1)
+        if machines:
+            self.serve_machines()
         self.workers, self.agents, self.entries = [], [], []
         for number in range(hosts):
             worker = platform_worker.Worker(f"w{number}", f"zone-{number}", "orders", cores)
@@ -123,6 +132,8 @@
             agent.start_first()
             worker.control = f"127.0.0.1:{agent.ports[3]}"
             self.workers.append(worker)
+            if self.machines:
+                self.machines.add(f"m-{worker.name}", worker)
             self.agents.append(agent)
         for _ in range(entries):
             self.add_entry(cpu_share)
@@ -134,11 +145,40 @@
             self.__exit__()
             raise
 
+    def serve_machines(self):
+        self.machines = platform_machines.Machines(self.store)
+        port = platform_machines.serve(self.machines).server_address[1]
+        self.entry_settings = {
+            "cloud_api": {"address": f"127.0.0.1:{port}",
+                          "rate_per_s": self.machines.rate_per_s,
+                          "duty_per_s": self.machines.duty_per_s},
+            "bounds": {"maintenance_s": self.machines.maintenance,
+                       "move_s": self.machines.move_seconds, "lease_ms": 3000,
+                       "notice_ms": 1000, "require_fence": True}}
+
+    def wave(self, number, machines, duration=60, max_count=1):
+        """Asks for an upkeep wave as operators do."""
+        self.store.put(f"op/wave/{number}", {"wave": number, "machines": machines,
+                                             "duration_s": duration, "max_count": max_count})
+
+    def wave_state(self, number):
+        status = self.store.value(f"status/wave/{number}")
+        return status["state"] if status else None
+
+    def metrics(self, entry):
+        """@returns the metrics of an entry as text."""
+        connection = http.client.HTTPConnection("127.0.0.1", entry.metrics_port, timeout=4)
+        try:
+            connection.request("GET", "/metrics")
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def add_entry(self, cpu_share):
         """Starts one more entry that may use this share of a core. @returns it."""
         number = len(self.entries)
         entry = Node(self, "entry", f"entry-{number}", f"zone-{number}",
-                     {"limits": {"cpu_share": cpu_share}})
+                     {"limits": {"cpu_share": cpu_share}, **self.entry_settings})
         entry.start_first()
         self.entries.append(entry)
         return entry
