--- a/packages/hosting/simulation/protocol_simulation.cc
+++ b/packages/hosting/simulation/protocol_simulation.cc
@@ -31,6 +31,13 @@
 /// How long the simulation goes on without faults at least.
 constexpr Duration kMinCalmPeriod{25000};
 
+/// When the waves begin, after the start, and how long each may take.
+constexpr Duration kFirstWaveAt{8000};
+constexpr Duration kSecondWaveAfterFaults{1000};
+constexpr Duration kWaveDuration{40000};
+/// A perpetual task is away once it has not been at work for this long.
+constexpr Duration kNotice{1000};
+
 /// The best-effort job beside perpetual ones, which may outlast the run.
 const JobId kBatchJob("batch");
 
@@ -67,6 +74,7 @@
         host, m_oracle, settings.worker, number % 2 ? kSlowestClock : 1.0,
         m_random());
     m_agents[host];
+    m_machines.Add(m_workers[host]->Facts().machine);
   }
   SchedulerSettings scheduler;
   scheduler.times = settings.owner_times;
@@ -75,7 +83,7 @@
     const std::string name = EntryName(number);
     m_entries.push_back(SimulatedEntry{
         std::make_unique<SimulatedOwner>(
-            EntryId(name), scheduler, m_store,
+            EntryId(name), scheduler, m_store, m_machines,
             [this, name](const std::string& to,
                          const std::function<void()>& action) {
               Send(name, to == name ? "store" : to, action);
@@ -130,12 +138,14 @@
   }
   m_calm_since = std::max(m_calm_since, m_late_calls_until + kMaxLateness);
   while (m_clock.Now() < end &&
-         (!AllJobsEnded() || m_clock.Now() - m_calm_since < kMinCalmPeriod)) {
+         (!AllJobsEnded() || !m_machines.AllCompleted() ||
+          m_clock.Now() - m_calm_since < kMinCalmPeriod)) {
     Tick(false);
     CheckCalm();
   }
   CheckOutcome();
   m_report.starts = m_oracle.starts();
+  m_report.upkeeps = m_machines.upkeeps();
   return m_report;
 }
 
@@ -153,6 +163,9 @@
     entry.owner->Advance(kTick, m_clock.Now() < entry.frozen_until);
   }
   EnsureOwner();
+  if (m_settings.waves) {
+    DeclareWaves();
+  }
   if (faulty && Chance(kFaultProbability)) {
     ++m_report.faults;
     InjectFault();
@@ -507,6 +520,7 @@
     step.estimate = Duration(1000);
     step.perpetual = true;
     step.most_per_host = 1;
+    step.disruption_budget = m_settings.disruption_budget;
     step.image = "serving";
     step.latency_target = Duration(100);
     record.spec.steps = {step};
@@ -620,7 +634,64 @@
   return false;
 }
 
+void ProtocolSimulation::DeclareWaves() {
+  const Instant start{100000};
+  const Instant first = start + kFirstWaveAt;
+  const Instant second =
+      start + m_settings.fault_period + kSecondWaveAfterFaults;
+  const std::size_t due =
+      (m_clock.Now() >= first ? 1 : 0) + (m_clock.Now() >= second ? 1 : 0);
+  if (m_machines.waves().size() < due) {
+    WaveSpec wave{WaveId(due), {}, kWaveDuration, 1};
+    for (const auto& [host, worker] : m_workers) {
+      wave.machines.push_back(worker->Facts().machine);
+    }
+    m_machines.Declare(wave);
+    auto told = m_machines.waves();
+    for (auto& [id, declared] : told) {
+      declared.max_down = m_settings.max_down;
+    }
+    for (SimulatedEntry& entry : m_entries) {
+      entry.owner->SetWaves(told);
+    }
+  }
+  for (const auto& [task, state] : m_perpetual_tasks) {
+    if (m_oracle.IsRunning(task)) {
+      m_last_at_work[task] = m_clock.Now();
+    }
+  }
+}
+
+void ProtocolSimulation::BeginUpkeep(const MachineId& machine) {
+  for (auto& [host, worker] : m_workers) {
+    if (worker->Facts().machine != machine) {
+      continue;
+    }
+    for (const auto& [task, state] : m_perpetual_tasks) {
+      if (!worker->Runs(task)) {
+        continue;
+      }
+      for (const auto& [other, its_state] : m_perpetual_tasks) {
+        if (other.First() == task.First() && other != task &&
+            (worker->Runs(other) ||
+             m_clock.Now() - m_last_at_work[other] > kNotice)) {
+          throw Violation("the upkeep of " + machine.value() + " ends " +
+                          task.ToString() + " while " + other.ToString() +
+                          " is away");
+        }
+      }
+    }
+    Trace("upkeep of " + machine.value());
+    worker->Crash();
+    m_agents.at(host).worker_down_until =
+        m_clock.Now() + SimulatedMachines::kMaintenance;
+  }
+}
+
 void ProtocolSimulation::CheckOutcome() {
+  if (!m_machines.AllCompleted()) {
+    throw Violation("a wave was not completed in the recovery period");
+  }
   if (!AllJobsEnded()) {
     throw Violation("accepted jobs did not end in the recovery period");
   }
--- a/packages/hosting/simulation/protocol_simulation.h
+++ b/packages/hosting/simulation/protocol_simulation.h
@@ -36,10 +36,17 @@
   /// How many of a worker's answers take up to 0.3 s, so that later ones
   /// overtake them.
   double slow_answers = 0.1;
+  /// Operators ask for two upkeep waves over all machines, one of them among
+  /// the faults, and one machine at a time.
+  bool waves = false;
   /// Workers that crash are back only after some seconds.
   bool worker_outages = false;
   /// See `SchedulerSettings`. Tests of the oracle set it apart.
   Duration max_perpetual_wait = SchedulerSettings().max_perpetual_wait;
+  /// Declared for the perpetual tasks of each step. The oracle takes it as 1.
+  std::uint32_t disruption_budget = 0;
+  /// Machines that owners may take down at a time. The oracle allows one.
+  std::uint32_t max_down = 1;
   /// The times that owners and agents use. They must agree; tests of the oracle
   /// set them apart.
   LeaseTimes owner_times;
@@ -54,6 +61,7 @@
   std::size_t starts = 0;
   int faults = 0;
   int takeovers = 0;
+  int upkeeps = 0;
   int completed = 0;  ///< Jobs that are reported as completed.
   /// Jobs reported as failed whose tasks crash their workers.
   int given_up = 0;
@@ -124,6 +132,11 @@
   void EnsureOwner();
   void SubmitJob(int number);
   void SubmitPerpetualJobs();
+  /// Lets operators ask for the waves that are due.
+  void DeclareWaves();
+  /// Ends what runs on the machine. Throws `Violation` if a perpetual step
+  /// loses a task while another one is away.
+  void BeginUpkeep(const MachineId& machine);
   void Store(const JobRecord& record);
   /// Throws `Violation` if an end has not been recorded for long, or a
   /// perpetual task does not run again though there is room for it. Must be
@@ -156,6 +169,10 @@
   TaskOracle m_oracle{m_clock,
                       [this](const HostId& host) { return InTouch(host); }};
   SimulatedStore m_store;
+  SimulatedMachines m_machines{
+      m_clock, [this](const MachineId& machine) { BeginUpkeep(machine); }};
+  /// When a perpetual task was last at work; with waves only.
+  std::map<TaskKey, Instant> m_last_at_work;
   std::map<HostId, std::unique_ptr<SimulatedWorker>> m_workers;
   std::map<HostId, SimulatedAgent> m_agents;
   std::vector<SimulatedEntry> m_entries;
--- a/packages/hosting/simulation/randomised_runs_test.cc
+++ b/packages/hosting/simulation/randomised_runs_test.cc
@@ -180,3 +180,30 @@
   const auto violation_text = FirstViolation(settings);
   CHECK(violation_text.has_value());
 }
+
+// Upkeep waves took down too many machines, ended perpetual tasks of which
+// others were away, were reported as completed too early, or never were.
+TEST(ProtocolRuns, WavesKeepTheirLimitsUnderAllFaults) {
+  ProtocolSettings settings = PerpetualRuns();
+  settings.waves = true;
+  constexpr std::uint64_t kSeeds = 10;
+  STRCMP_EQUAL("", FirstViolation(settings, kSeeds).value_or("").c_str());
+}
+
+TEST(ProtocolRuns, CatchesAnOwnerThatEndsTooManyTasksForAnUpkeep) {
+  ProtocolSettings settings = PerpetualRuns();
+  settings.waves = true;
+  settings.disruption_budget = 2;
+  const auto violation_text = FirstViolation(settings);
+  CHECK(violation_text.has_value());
+  STRCMP_CONTAINS("is away", violation_text->c_str());
+}
+
+TEST(ProtocolRuns, CatchesAnOwnerThatTakesTooManyMachinesDown) {
+  ProtocolSettings settings;
+  settings.waves = true;
+  settings.max_down = 2;
+  const auto violation_text = FirstViolation(settings);
+  CHECK(violation_text.has_value());
+  STRCMP_CONTAINS("machines are down", violation_text->c_str());
+}
--- a/packages/hosting/simulation/simulated_owner.cc
+++ b/packages/hosting/simulation/simulated_owner.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "site/store_keys.h"
+
 namespace zinniacart::simulation {
 namespace {
 
@@ -9,6 +11,17 @@
 constexpr Duration kConfirmationInterval{500};
 constexpr Duration kPollInterval{300};
 constexpr Duration kWriteTimeout{900};
+/// Upkeep is ordered only while the ownership was confirmed within this time.
+constexpr Duration kMaxHolderAge{1000};
+constexpr double kUpkeepRate = 5;
+
+UpkeepSettings MakeUpkeepSettings() {
+  UpkeepSettings settings;
+  settings.maintenance = SimulatedMachines::kMaintenance;
+  settings.reads_per_s = kUpkeepRate;
+  settings.calls_per_s = kUpkeepRate;
+  return settings;
+}
 
 }  // namespace
 
@@ -31,9 +44,47 @@
   return true;
 }
 
+Result<StoreSnapshot> SimulatedStore::List(const std::string& prefix) const {
+  if (unavailable) {
+    return Fail(ErrorCode::kStoreUnavailable, "the store is unavailable");
+  }
+  StoreSnapshot snapshot;
+  for (const auto& [key, item] : items) {
+    if (key.starts_with(prefix)) {
+      snapshot.items.push_back(item);
+    }
+  }
+  return snapshot;
+}
+
+Result<StoreCommit> SimulatedStore::Commit(
+    const StoreTransaction& transaction) {
+  if (unavailable) {
+    return Fail(ErrorCode::kStoreUnavailable, "the store is unavailable");
+  }
+  StoreCommit commit{true, 0, {}};
+  for (const StoreCondition& condition : transaction.conditions) {
+    const auto found = items.find(condition.key);
+    const std::uint64_t actual =
+        condition.key == store_keys::kEpoch ? epoch.value()
+        : found == items.end()              ? 0
+                                            : found->second.revision;
+    commit.current.push_back(StoreItem{condition.key, {}, actual});
+    commit.committed = commit.committed && actual == condition.revision;
+  }
+  if (commit.committed) {
+    commit.revision = ++revision;
+    for (const StoreWrite& write : transaction.writes) {
+      items[write.key] = StoreItem{write.key, write.value, revision};
+    }
+  }
+  return commit;
+}
+
 SimulatedOwner::SimulatedOwner(EntryId self,
                                SchedulerSettings settings,
                                SimulatedStore& store,
+                               SimulatedMachines& machines,
                                Post post,
                                SendOrders send,
                                Scheduler::DecisionLog log)
@@ -42,7 +93,14 @@
       m_store(store),
       m_post(std::move(post)),
       m_send(std::move(send)),
-      m_log(std::move(log)) {
+      m_log(std::move(log)),
+      m_services(m_self.value(), store, machines, m_clock, m_post),
+      m_upkeep(MakeUpkeepSettings(),
+               m_self,
+               m_services,
+               m_services,
+               m_clock,
+               [this] { return m_clock.Now().milliseconds; }) {
   m_clock.Advance(Duration(50000));
 }
 
@@ -54,6 +112,7 @@
   ++m_write_number;
   m_scheduler = std::make_unique<Scheduler>(m_settings, m_clock, m_log);
   m_scheduler->Begin(m_epoch, m_self);
+  m_upkeep.BeginTerm(m_epoch, m_epoch.value());
   for (const auto& [id, record] : m_store.jobs) {
     m_scheduler->AddJob(record, Duration(0));
   }
@@ -76,7 +135,9 @@
     return;
   }
   ConfirmOwnership();
+  m_services.ExpireCalls();
   m_scheduler->OnTick();
+  m_upkeep.Tick(*m_scheduler, m_clock.Now() - m_confirmed_at <= kMaxHolderAge);
   m_scheduler->Place();
   WriteProgress();
   const bool poll = m_clock.Now() - m_polled_at >= kPollInterval;
@@ -172,6 +233,7 @@
 }
 
 void SimulatedOwner::OnDeposed() {
+  m_upkeep.EndTerm();
   m_scheduler.reset();
 }
 
--- a/packages/hosting/simulation/simulated_owner.h
+++ b/packages/hosting/simulation/simulated_owner.h
@@ -6,7 +6,11 @@
 #include <set>
 #include <string>
 
+#include "hosting/simulation/simulated_machines.h"
+#include "hosting/simulation/simulated_services.h"
 #include "scheduling/scheduler.h"
+#include "site/store_port.h"
+#include "site/upkeep_duty.h"
 
 namespace zinniacart::simulation {
 
@@ -19,6 +23,12 @@
   std::set<JobId> cancelled;
   std::map<JobId, std::pair<std::string, std::uint64_t>> progress;
 
+  /// The keys of the upkeep waves and their store revisions.
+  std::map<std::string, StoreItem> items;
+
+  Result<StoreSnapshot> List(const std::string& prefix) const;
+  /// Commits a transaction on `items`. The epoch's revision is the epoch.
+  Result<StoreCommit> Commit(const StoreTransaction& transaction);
   /// Applies all writes or none.
   /// @returns whether they were applied.
   bool Commit(Epoch writer, const std::vector<ProgressWrite>& writes);
@@ -39,6 +49,7 @@
   SimulatedOwner(EntryId self,
                  SchedulerSettings settings,
                  SimulatedStore& store,
+                 SimulatedMachines& machines,
                  Post post,
                  SendOrders send,
                  Scheduler::DecisionLog log);
@@ -56,6 +67,10 @@
   void OnOrdersLost(const HostId& host);
   /// Called when an entry has stored a job.
   void OnJobStored(const JobRecord& record);
+  /// Sets the upkeep waves that operators ask for.
+  void SetWaves(const std::map<WaveId, WaveSpec>& waves) {
+    m_upkeep.SetWaves(waves);
+  }
   /// Called when an entry has stored a cancellation.
   void OnJobCancelled(const JobId& job);
 
@@ -75,6 +90,8 @@
   const SendOrders m_send;
   const Scheduler::DecisionLog m_log;
   ManualClock m_clock;
+  SimulatedServices m_services;
+  UpkeepDuty m_upkeep;
   Epoch m_epoch;
   std::unique_ptr<Scheduler> m_scheduler;
   std::set<HostId> m_hosts;
--- a/packages/hosting/simulation/simulated_worker.cc
+++ b/packages/hosting/simulation/simulated_worker.cc
@@ -105,6 +105,12 @@
   return free;
 }
 
+bool SimulatedWorker::Runs(const TaskKey& task) const {
+  return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& entry) {
+    return entry.first.task == task;
+  });
+}
+
 bool SimulatedWorker::RunsTaskOfStep(const TaskKey& task) const {
   return std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& entry) {
     return entry.first.task.First() == task.First();
@@ -236,6 +242,7 @@
 
 WorkerFacts SimulatedWorker::Facts() const {
   WorkerFacts facts;
+  facts.machine = MachineId("machine-" + m_host.value());
   facts.worker = "worker-" + m_host.value();
   facts.incarnation = m_incarnation;
   facts.domain = DomainId("domain");
--- a/packages/hosting/simulation/simulated_worker.h
+++ b/packages/hosting/simulation/simulated_worker.h
@@ -54,6 +54,8 @@
   std::int64_t FreeMillicores() const;
   /// @returns whether a task of the step of `task` is at work here.
   bool RunsTaskOfStep(const TaskKey& task) const;
+  /// @returns whether the task is at work here.
+  bool Runs(const TaskKey& task) const;
   /// @returns when the oldest run ended of which the owner has not recorded the
   /// end; nothing if there is none.
   std::optional<Instant> OldestUnrecordedEnd() const;
--- a/packages/hosting/simulation/soak_main.cc
+++ b/packages/hosting/simulation/soak_main.cc
@@ -45,11 +45,14 @@
   bool worker_outages = false;
   app.add_flag("--worker-outages", worker_outages,
                "Workers that crash are back only after some seconds");
+  bool waves = false;
+  app.add_flag("--waves", waves, "Operators ask for upkeep waves");
   CLI11_PARSE(app, argc, argv);
   using namespace zinniacart::simulation;
   std::size_t starts = 0;
   int faults = 0;
   int takeovers = 0;
+  int upkeeps = 0;
   int given_up = 0;
   int sound_given_up = 0;
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
@@ -62,6 +65,7 @@
     settings.worker.steady = steady || perpetual_jobs > 0;
     settings.perpetual_jobs = perpetual_jobs;
     settings.worker_outages = worker_outages;
+    settings.waves = waves;
     settings.jobs = jobs;
     settings.worker.max_ends_in_list = max_ends;
     settings.slow_answers = slow_answers;
@@ -77,6 +81,7 @@
       starts += report.starts;
       faults += report.faults;
       takeovers += report.takeovers;
+      upkeeps += report.upkeeps;
       given_up += report.given_up;
       sound_given_up += report.sound_given_up;
     } catch (const Violation& violation) {
@@ -85,7 +90,7 @@
     }
   }
   std::cout << seeds << " seeds, " << starts << " starts, " << faults
-            << " faults, " << takeovers << " takeovers, " << given_up
-            << " crashing jobs and " << sound_given_up
-            << " others given up: no guarantee violated\n";
+            << " faults, " << takeovers << " takeovers, " << upkeeps
+            << " upkeeps, " << given_up << " crashing jobs and "
+            << sound_given_up << " others given up: no guarantee violated\n";
 }
--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -357,13 +357,19 @@
   bool MayStartSlowed(const PlacementIndex& index, const Job& job) const;
   /// The tasks of a step, as its disruption budget counts them.
   struct StepPresence {
-    std::uint32_t here = 0;  ///< At work on the host in question.
-    std::uint32_t away = 0;  ///< Neither done nor at work.
+    std::uint32_t here = 0;  ///< May be at work on the host in question.
+    /// Of these, not known to be at work.
+    std::uint32_t unsure_here = 0;
+    /// Elsewhere, neither done nor known to be at work.
+    std::uint32_t away = 0;
   };
-  /// @param host whose tasks are counted as `here`, also while its upkeep is
-  ///             ordered.
+  /// @param host whose tasks are counted apart.
   StepPresence PresenceOf(const TaskKey& step, const HostId& host) const;
+  /// @param host counts as reliable also while its upkeep is ordered.
   bool IsAtWork(const TaskKey& key, const Task& task, const HostId& host) const;
+  /// @returns whether the task has a run on the host that was not told to stop
+  /// and may have begun.
+  bool MayWorkOn(const TaskKey& key, const Task& task, const Host& host) const;
   /// @returns whether the run may be stopped: it is the only one of its step
   /// that is away, or the budget allows for one more.
   bool MayMove(const TaskRun& id, const Host& host) const;
--- a/packages/scheduling/scheduler_upkeep.cc
+++ b/packages/scheduling/scheduler_upkeep.cc
@@ -90,6 +90,14 @@
          (at.upkeep != HostUpkeep::kOrdered || at.id() == host);
 }
 
+bool Scheduler::MayWorkOn(const TaskKey& key,
+                          const Task& task,
+                          const Host& host) const {
+  const auto run = host.runs.find(TaskRun{key, task.run});
+  return run != host.runs.end() && !run->second.stopping &&
+         (run->second.ordered || run->second.recovered || run->second.started);
+}
+
 Scheduler::StepPresence Scheduler::PresenceOf(const TaskKey& step,
                                               const HostId& host) const {
   StepPresence presence;
@@ -101,11 +109,13 @@
     if (task.phase == TaskPhase::kDone) {
       continue;
     }
-    if (!IsAtWork(key, task, host)) {
-      ++presence.away;
-    } else if (task.placement.host == host) {
-      ++presence.here;
-    }
+    // Without a report, tasks elsewhere count as away, and those here as at
+    // work.
+    const bool here = MayWorkOn(key, task, m_hosts.at(host));
+    const bool sure = IsAtWork(key, task, host);
+    presence.here += here ? 1U : 0U;
+    presence.unsure_here += here && !sure ? 1U : 0U;
+    presence.away += !here && !sure ? 1U : 0U;
   }
   return presence;
 }
@@ -145,7 +155,8 @@
     return true;
   }
   const StepPresence presence = PresenceOf(id.task.First(), host.id());
-  return step.perpetual ? presence.away == 0 : presence.away < *budget;
+  const std::uint32_t away = presence.away + presence.unsure_here;
+  return step.perpetual ? away == 0 : away < *budget;
 }
 
 void Scheduler::EmptyHosts(const std::map<HostId, Duration>& spare) {
--- a/packages/scheduling/tests/upkeep_test.cc
+++ b/packages/scheduling/tests/upkeep_test.cc
@@ -124,8 +124,12 @@
   CHECK(may_end("b"));
   harness.clock().Advance(Duration(200));  // "c" is silent for too long.
   CHECK_FALSE(may_end("b"));
-  CHECK(may_end("c"));  // What it had counts as away already.
-  Ready({"c"});
+  // What "c" had may still be at work, without a report.
+  CHECK(may_end("c"));
+  Ready({"a", "c"});
+  harness.clock().Advance(Duration(1100));
+  CHECK_FALSE(may_end("c"));
+  Ready({"b", "c"});
   CHECK(may_end("b"));
 }
 
