--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -373,6 +373,9 @@
   /// @returns whether the run may be stopped: it is the only one of its step
   /// that is away, or the budget allows for one more.
   bool MayMove(const TaskRun& id, const Host& host) const;
+  /// @returns whether the disruption budget that the step declares, if any,
+  /// allows to stop the run.
+  bool WithinBudget(const TaskRun& id, const Host& host) const;
   /// Moves the run if it must not stay and may move.
   /// @param spare see `EmptyHosts`.
   void MoveOffHost(Host& host,
--- a/packages/scheduling/scheduler_health.cc
+++ b/packages/scheduling/scheduler_health.cc
@@ -230,7 +230,8 @@
       continue;
     }
     Job* job = FindJob(id.task.job);
-    if (job == nullptr || job->spec().steps[id.task.step].gang) {
+    if (job == nullptr || job->spec().steps[id.task.step].gang ||
+        !WithinBudget(id, host)) {
       continue;
     }
     m_log({"run moved", id, host.id(),
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -170,7 +170,8 @@
     }
     const StepSpec& step = job->spec().steps[id.task.step];
     Task* task = job->Find(id.task);
-    if (!step.checkpoints || step.gang || task == nullptr) {
+    if (!step.checkpoints || step.gang || task == nullptr ||
+        !WithinBudget(id, host)) {
       continue;
     }
     const auto better =
--- a/packages/scheduling/scheduler_upkeep.cc
+++ b/packages/scheduling/scheduler_upkeep.cc
@@ -159,6 +159,16 @@
   return step.perpetual ? away == 0 : away < *budget;
 }
 
+bool Scheduler::WithinBudget(const TaskRun& id, const Host& host) const {
+  Job& job = *m_jobs.at(id.task.job);
+  const StepSpec& step = job.spec().steps[id.task.step];
+  if (step.disruption_budget == 0 || job.Find(id.task) == nullptr) {
+    return true;
+  }
+  const StepPresence presence = PresenceOf(id.task.First(), host.id());
+  return presence.away + presence.unsure_here < step.disruption_budget;
+}
+
 void Scheduler::EmptyHosts(const std::map<HostId, Duration>& spare) {
   const PlacementIndex index = MakeIndex();
   ReservedCapacity reserved;
--- a/packages/scheduling/tests/host_health_test.cc
+++ b/packages/scheduling/tests/host_health_test.cc
@@ -109,6 +109,17 @@
   }
 }
 
+// More tasks of a step were stopped at once than it can miss.
+TEST(UnhealthyHost, TasksAreStoppedWithinTheBudgetOfTheirStep) {
+  StepSpec step = MakeStep(4, 100);
+  step.disruption_budget = 1;
+  StartOnTwoHosts(step);
+  harness.clock().Advance(Duration(900));
+  ReportProgress("b", 90);
+  ReportProgress("a", 5);
+  LONGS_EQUAL(1, harness.Orders("a").stops.size());
+}
+
 TEST(UnhealthyHost, SpeculativeTaskIsDuplicatedAtOnce) {
   // Four tasks are on the unhealthy host, the fifth on another one.
   StepSpec step = MakeStep(5, 100);
