--- a/packages/site/tests/upkeep_duty_test.cc
+++ b/packages/site/tests/upkeep_duty_test.cc
@@ -330,6 +330,31 @@
   }
 }
 
+// Two owners together exceeded the rate limits while one followed the other.
+TEST(UpkeepDuty, RatesAreKeptWhileTheOwnershipIsHandedOver) {
+  settings.reads_per_s = 2;
+  settings.calls_per_s = 2;
+  UpkeepDuty& first = AddDuty();
+  UpkeepDuty& second = AddDuty();
+  for (UpkeepDuty* duty : {&first, &second, &first, &second}) {
+    first.EndTerm();
+    first.SetWaves({});
+    second.EndTerm();
+    second.SetWaves({});
+    duty->SetWaves(Waves(2));
+    BeginTerm(*duty);
+    RunFor(Duration(3400));
+  }
+  CHECK(service.reads.size() > 4);
+  for (std::size_t index = 2; index < service.reads.size(); ++index) {
+    CHECK(service.reads[index] - service.reads[index - 2] >= Duration(1000));
+  }
+  for (std::size_t index = 2; index < service.calls.size(); ++index) {
+    CHECK(service.calls[index].at - service.calls[index - 2].at >=
+          Duration(1000));
+  }
+}
+
 // A holder went on calling with a token that was refused.
 TEST(UpkeepDuty, AFencedHolderDoesNotCallAgainUntilItsEpochGrows) {
   UpkeepDuty& duty = AddDuty();
--- a/packages/site/upkeep_duty.cc
+++ b/packages/site/upkeep_duty.cc
@@ -127,7 +127,9 @@
     UpdatePlanners();
   }
   if (HasOpenWaves()) {
-    List();
+    if (confirmed) {
+      List();
+    }
     const Views views = MakeViews(scheduler);
     SendCall(views, confirmed);
     Plan(views);
--- a/packages/upkeep/machine_lister.cc
+++ b/packages/upkeep/machine_lister.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kPageTimeout{2000};
+/// After this time calls of another caller no longer count against the limit.
+constexpr Duration kRateWindow{1000};
 
 }  // namespace
 
@@ -20,13 +22,15 @@
 void MachineLister::Reset() {
   m_listing.reset();
   m_call.reset();
+  m_pause_until = m_clock.Now() + kRateWindow;
 }
 
 void MachineLister::Tick(
     Duration interval,
     std::function<void(const MachineListing&)> on_listing) {
   const Instant now = m_clock.Now();
-  if (m_call || !m_pacer.MayCall(now) || (!m_listing && now < m_next_at)) {
+  if (m_call || now < m_pause_until || !m_pacer.MayCall(now) ||
+      (!m_listing && now < m_next_at)) {
     return;
   }
   if (!m_listing) {
--- a/packages/upkeep/machine_lister.h
+++ b/packages/upkeep/machine_lister.h
@@ -25,7 +25,8 @@
   /// @param on_listing receives each complete listing.
   void Tick(Duration interval,
             std::function<void(const MachineListing&)> on_listing);
-  /// Discards a listing that is in progress. Answers to it are ignored.
+  /// Discards a listing that is in progress. Answers to it are ignored. Another
+  /// caller may just have used up the rate limit.
   void Reset();
 
  private:
@@ -38,6 +39,7 @@
   std::optional<MachineListing> m_listing;  ///< In progress.
   std::string m_next_page;
   Instant m_next_at;
+  Instant m_pause_until;
   bool m_away = false;  ///< The last call failed.
   /// Exists while a call is in flight; callbacks hold weak pointers to it.
   std::shared_ptr<int> m_call;
