--- a/packages/hosting/simulation/soak_main.cc
+++ b/packages/hosting/simulation/soak_main.cc
@@ -49,11 +49,14 @@
   app.add_flag("--varied-jobs", varied_jobs,
                "Jobs save checkpoints, are best-effort, speculative and late; "
                "workers ignore their capacity");
+  bool waves = false;
+  app.add_flag("--waves", waves, "Operators ask for upkeep waves");
   CLI11_PARSE(app, argc, argv);
   using namespace zinniacart::simulation;
   std::size_t starts = 0;
   int faults = 0;
   int takeovers = 0;
+  int upkeeps = 0;
   int given_up = 0;
   int sound_given_up = 0;
   int preempted = 0;
@@ -71,6 +74,7 @@
     settings.worker.slow_runs = varied_jobs ? 0.1 : 0.0;
     settings.perpetual_jobs = perpetual_jobs;
     settings.worker_outages = worker_outages;
+    settings.waves = waves;
     settings.jobs = jobs;
     settings.worker.max_ends_in_list = max_ends;
     settings.slow_answers = slow_answers;
@@ -86,6 +90,7 @@
       starts += report.starts;
       faults += report.faults;
       takeovers += report.takeovers;
+      upkeeps += report.upkeeps;
       given_up += report.given_up;
       sound_given_up += report.sound_given_up;
       preempted += report.preempted;
@@ -96,8 +101,9 @@
     }
   }
   std::cout << seeds << " seeds, " << starts << " starts, " << faults
-            << " faults, " << takeovers << " takeovers, " << given_up
-            << " crashing jobs and " << sound_given_up << " others given up, "
-            << preempted << " runs preempted, " << copied
+            << " faults, " << takeovers << " takeovers, " << upkeeps
+            << " upkeeps, " << given_up << " crashing jobs and "
+            << sound_given_up << " others given up, " << preempted
+            << " runs preempted, " << copied
             << " copied: no guarantee violated\n";
 }
--- a/packages/scheduling/scheduler_pacing.cc
+++ b/packages/scheduling/scheduler_pacing.cc
@@ -170,7 +170,8 @@
     }
     const StepSpec& step = job->spec().steps[id.task.step];
     Task* task = job->Find(id.task);
-    if (!step.checkpoints || step.gang || task == nullptr) {
+    if (!step.checkpoints || step.gang || task == nullptr ||
+        !WithinBudget(id, host)) {
       continue;
     }
     const auto better =
@@ -194,7 +195,8 @@
                                                        return step.best_effort;
                                                      });
       });
-  if (!best_effort) {
+  // A task that is expected back from an upkeep must not be joined by another.
+  if (!best_effort || HasUpkeep()) {
     return;
   }
   const PlacementIndex index = MakeIndex();
--- a/packages/scheduling/scheduler_settings.h
+++ b/packages/scheduling/scheduler_settings.h
@@ -133,6 +133,9 @@
   Duration preemption_interval{300};
   Duration min_run_before_preemption{1000};
   StragglerSettings stragglers;
+  /// A task counts as at work only while its host's last report is younger,
+  /// where a step's disruption budget decides whether another may be ended.
+  Duration at_work_notice{1000};
 };
 
 }  // namespace zinniacart
--- a/packages/site/node_metrics.h
+++ b/packages/site/node_metrics.h
@@ -6,6 +6,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -30,7 +31,10 @@
 
   /// Sets the gauge `name`, which is created on first use.
   /// @param help the gauge's description in the text format.
-  void Set(const std::string& name, const std::string& help, double value);
+  void Set(const std::string& name,
+           const std::string& help,
+           double value,
+           const std::map<std::string, std::string>& labels = {});
 
   /// Sets the gauges of a listener's open connections and held bytes, and the
   /// counter of its refused clients, by reason.
