--- a/tests/soak_configuration.py
+++ b/tests/soak_configuration.py
@@ -231,6 +231,7 @@
         self.versions.append(store_address[1])
         self.worker_pipe, worker_ports = self._spawn(
             run_workers, options.hosts, options.cores)
+        self.limits = {}  # Of all processes; see `platform_site.PlatformSite`.
         self.agents = [platform_site.Node(
             self, "agent", f"host-{n}", f"zone-{n % 3}",
             {"app": f"127.0.0.1:{port}", "service": SERVICE})
