--- a/packages/scheduling/scheduler.h
+++ b/packages/scheduling/scheduler.h
@@ -288,9 +288,13 @@
   void FinishAndCount(Job& job, const TaskKey& task);
   /// @returns a function that estimates run times from the job's queue alone.
   RunTimeEstimator QueueEstimate(const Job& job) const;
-  /// @returns the core-seconds of the job's tasks that wait for capacity, and
-  /// whether the job can still meet its objective.
-  std::pair<double, bool> WaitingWorkOf(const Job& job) const;
+  /// Core-seconds of tasks that wait for capacity.
+  struct WaitingWork {
+    double all = 0;
+    double in_time = 0;  ///< Of the first tier, see `TierOf`.
+  };
+  /// @returns the work of the job's tasks that wait for capacity.
+  WaitingWork WaitingWorkOf(const Job& job) const;
   void LearnRunTime(const Job& job, const HostedRun& run);
 
   // Run times and order, see `packages/ordering`.
--- a/packages/scheduling/scheduler_work.cc
+++ b/packages/scheduling/scheduler_work.cc
@@ -20,11 +20,7 @@
 }  // namespace
 
 std::map<QueueId, QueueWork> Scheduler::SummarizeWork() const {
-  struct Waiting {
-    double all = 0;
-    double in_time = 0;  ///< Of jobs that can still meet their objective.
-  };
-  std::map<std::pair<ServiceId, int>, Waiting> waiting;
+  std::map<std::pair<ServiceId, int>, WaitingWork> waiting;
   std::map<QueueId, QueueWork> summary;
   for (const Queue& queue : m_configuration.queues) {
     summary[queue.id] = QueueWork{};
@@ -32,10 +28,10 @@
   for (const auto& [id, job] : m_jobs) {
     const QueuePolicy& policy = job->policy();
     if (job->active()) {
-      const auto [work, in_time] = WaitingWorkOf(*job);
-      Waiting& sum = waiting[{policy.service, policy.priority}];
-      sum.all += work;
-      sum.in_time += in_time ? work : 0;
+      const WaitingWork of_job = WaitingWorkOf(*job);
+      WaitingWork& sum = waiting[{policy.service, policy.priority}];
+      sum.all += of_job.all;
+      sum.in_time += of_job.in_time;
     }
     const auto own = summary.find(job->record().queue);
     if (own != summary.end() && job->begun()) {
@@ -69,10 +65,10 @@
   };
 }
 
-std::pair<double, bool> Scheduler::WaitingWorkOf(const Job& job) const {
+Scheduler::WaitingWork Scheduler::WaitingWorkOf(const Job& job) const {
+  WaitingWork waiting;
   const RunTimeEstimator estimate = QueueEstimate(job);
-  double work = 0;
-  Duration chain_left{0};
+  const JobForecast forecast(job, m_run_times, Siblings(), m_clock.Now());
   for (const auto& [occurrence, steps] : job.occurrences().open()) {
     if (!IsDue(job, occurrence)) {
       continue;
@@ -82,20 +78,15 @@
       if (declared.perpetual || !job.Unblocked(occurrence, step)) {
         continue;
       }
-      work += PendingWork(steps[step], declared, estimate(declared));
-      if (!steps[step].complete()) {
-        chain_left =
-            std::max(chain_left, ChainEstimate(job.spec(), step, estimate));
-      }
+      const double work =
+          PendingWork(steps[step], declared, estimate(declared));
+      const OrderTier tier =
+          TierOf(forecast.InputsFor(occurrence, step, AgeOf(job, occurrence)));
+      waiting.all += work;
+      waiting.in_time += tier == OrderTier::kInTime ? work : 0;
     }
   }
-  const auto chain =
-      static_cast<double>(LongestChainEstimate(job.spec(), estimate).count());
-  const Duration objective =
-      Duration(static_cast<std::int64_t>(job.policy().stretch * chain)) +
-      job.policy().objective;
-  const Duration age = m_clock.Now() - job.accepted();
-  return {work, age + chain_left <= objective};
+  return waiting;
 }
 
 void Scheduler::FinishAndCount(Job& job, const TaskKey& task) {
--- a/packages/upkeep/upkeep_settings.h
+++ b/packages/upkeep/upkeep_settings.h
@@ -11,13 +11,10 @@
   double reads_per_s = 2;      ///< Limit of listing calls over all daemons.
   double calls_per_s = 1;      ///< Limit of upkeep calls over all daemons.
   Duration maintenance{2000};  ///< From an upkeep's call to the next worker.
-  Duration move{1500};         ///< From a move's call to the next worker.
   /// Calls of two holders are at least so far apart.
   Duration holder_lease{3000};
   /// A task that is not at work for so long counts as away.
   Duration notice{1000};
-  /// The service refuses calls with an older token. They are sent either way.
-  bool requires_fence = false;
 };
 
 }  // namespace zinniacart
